--- /dev/null
+++ b/components/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! The measuring tool.
+
+fn main() {}
--- /dev/null
+++ b/components/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' listener: look-ups, leases and requests.
--- /dev/null
+++ b/components/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control plane's agent: heartbeats, configuration, planner and snapshots.
--- /dev/null
+++ b/components/errors/src/answer.rs
@@ -0,0 +1,82 @@
+use crate::Kind;
+use clock::Millis;
+use serde::{Deserialize, Serialize};
+
+/// What heatherbend knows about the execution of a refused request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// No upstream received the request, and none will.
+    NotRun,
+    /// An upstream may have run the request.
+    Unknown,
+    /// An upstream ran the request.
+    Ran,
+}
+
+impl Ran {
+    /// The value of the `x-ran` header.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Ran::NotRun => "not_run",
+            Ran::Unknown => "unknown",
+            Ran::Ran => "ran",
+        }
+    }
+}
+
+/// How one kind of error is presented to callers and operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The HTTP status code.
+    pub status: u16,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When to come back, if repeating can help.
+    pub retry_after: Option<Millis>,
+    /// The exit code of the command line.
+    pub exit: u8,
+}
+
+const SOON: Option<Millis> = Some(Millis::from_secs(1));
+const LATER: Option<Millis> = Some(Millis::from_secs(5));
+
+const EXIT_BAD_INPUT: u8 = 2;
+const EXIT_CONFLICT: u8 = 3;
+const EXIT_NOT_RUN: u8 = 4;
+const EXIT_UNKNOWN: u8 = 5;
+
+/// The row of `kind` in the table of answers.
+pub const fn answer(kind: Kind) -> Answer {
+    use Ran::{NotRun, Ran as Done, Unknown};
+    match kind {
+        Kind::Malformed => row(400, NotRun, None, EXIT_BAD_INPUT),
+        Kind::TooLarge => row(413, NotRun, None, EXIT_BAD_INPUT),
+        Kind::UnknownBlock => row(404, NotRun, None, EXIT_BAD_INPUT),
+        Kind::UnknownService => row(404, NotRun, None, EXIT_BAD_INPUT),
+        Kind::ForgedToken => row(403, NotRun, None, EXIT_BAD_INPUT),
+        Kind::Unauthorized => row(401, NotRun, None, EXIT_NOT_RUN),
+        Kind::BadSettings => row(422, NotRun, None, EXIT_BAD_INPUT),
+        Kind::Conflict => row(409, NotRun, None, EXIT_CONFLICT),
+        Kind::Overloaded => row(503, NotRun, SOON, EXIT_NOT_RUN),
+        Kind::ShiftCapped => row(503, NotRun, SOON, EXIT_NOT_RUN),
+        Kind::NoUpstream => row(503, NotRun, SOON, EXIT_NOT_RUN),
+        Kind::Leaving => row(503, NotRun, SOON, EXIT_NOT_RUN),
+        Kind::NotReady => row(503, NotRun, SOON, EXIT_NOT_RUN),
+        Kind::PlatformDown => row(503, NotRun, LATER, EXIT_NOT_RUN),
+        Kind::DeadlineBeforeSend => row(504, NotRun, SOON, EXIT_NOT_RUN),
+        Kind::DeadlineAfterSend => row(504, Unknown, None, EXIT_UNKNOWN),
+        Kind::UpstreamBroken => row(502, Unknown, None, EXIT_UNKNOWN),
+        Kind::UpstreamShed => row(502, Unknown, SOON, EXIT_UNKNOWN),
+        Kind::OutcomeUnknown => row(502, Unknown, LATER, EXIT_UNKNOWN),
+        Kind::AlreadyRan => row(409, Done, None, EXIT_CONFLICT),
+        Kind::OrderExpired => row(410, Unknown, None, EXIT_UNKNOWN),
+        Kind::EntityChanged => row(502, Unknown, SOON, EXIT_UNKNOWN),
+        Kind::Fenced => row(409, NotRun, SOON, EXIT_CONFLICT),
+        Kind::Internal => row(500, Unknown, None, EXIT_UNKNOWN),
+    }
+}
+
+const fn row(status: u16, ran: Ran, retry_after: Option<Millis>, exit: u8) -> Answer {
+    Answer { status, ran, retry_after, exit }
+}
--- /dev/null
+++ b/components/errors/src/kind.rs
@@ -0,0 +1,88 @@
+use serde::{Deserialize, Serialize};
+
+/// Every way in which heatherbend can fail, for callers, operators and peers alike.
+///
+/// The list is closed: [`crate::answer`] has a row for each kind, so no failure reaches a caller
+/// without a status, a statement of whether the request ran, and a time to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// The message can't be parsed or lacks a field.
+    Malformed,
+    /// A header, body, token or message exceeds its size limit.
+    TooLarge,
+    /// No site holds the caller's block.
+    UnknownBlock,
+    /// The deployment in force has no such service.
+    UnknownService,
+    /// The renewal token or order prefix wasn't issued by this system.
+    ForgedToken,
+    /// The key is missing or wrong.
+    Unauthorized,
+    /// The settings or declaration are invalid.
+    BadSettings,
+    /// Another operator's change won; nothing was changed.
+    Conflict,
+    /// A region's, link's or service's limit is reached; the request wasn't sent.
+    Overloaded,
+    /// The destination is still warming up and its shift cap is reached; the request wasn't sent.
+    ShiftCapped,
+    /// No upstream can serve the request now; it wasn't sent.
+    NoUpstream,
+    /// This VM is shutting down and takes no new work.
+    Leaving,
+    /// This VM has no configuration yet.
+    NotReady,
+    /// The platform can't be reached and the request needs it; the request wasn't sent.
+    PlatformDown,
+    /// The deadline passed before the request was sent.
+    DeadlineBeforeSend,
+    /// The deadline passed after the request was sent.
+    DeadlineAfterSend,
+    /// The upstream's connection broke after the request may have been sent.
+    UpstreamBroken,
+    /// The upstream refused the request after it was sent; it may have run.
+    UpstreamShed,
+    /// The order was sent before, and its outcome isn't known here.
+    OutcomeUnknown,
+    /// The order ran before; its answer is no longer held.
+    AlreadyRan,
+    /// The order id is older than the retention of order ids.
+    OrderExpired,
+    /// The entity changed while its download was interrupted.
+    EntityChanged,
+    /// A write was refused because a newer holder of the lease has written.
+    Fenced,
+    /// A defect of heatherbend itself, after the request may have been sent.
+    Internal,
+}
+
+impl Kind {
+    /// Every kind, in the order of the table.
+    pub const ALL: [Kind; 24] = [
+        Kind::Malformed,
+        Kind::TooLarge,
+        Kind::UnknownBlock,
+        Kind::UnknownService,
+        Kind::ForgedToken,
+        Kind::Unauthorized,
+        Kind::BadSettings,
+        Kind::Conflict,
+        Kind::Overloaded,
+        Kind::ShiftCapped,
+        Kind::NoUpstream,
+        Kind::Leaving,
+        Kind::NotReady,
+        Kind::PlatformDown,
+        Kind::DeadlineBeforeSend,
+        Kind::DeadlineAfterSend,
+        Kind::UpstreamBroken,
+        Kind::UpstreamShed,
+        Kind::OutcomeUnknown,
+        Kind::AlreadyRan,
+        Kind::OrderExpired,
+        Kind::EntityChanged,
+        Kind::Fenced,
+        Kind::Internal,
+    ];
+}
--- /dev/null
+++ b/components/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' interface and its client.
--- /dev/null
+++ b/components/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between VMs: heartbeats, configuration, relayed orders.
--- /dev/null
+++ b/components/platform/src/store.rs
@@ -0,0 +1,21 @@
+use crate::Failure;
+use async_trait::async_trait;
+use std::sync::Arc;
+
+/// The platform's object store, used for bodies that never change once written.
+#[async_trait]
+pub trait Store: Send + Sync {
+    /// Writes `body` under its digest and returns the digest; writing it again changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] when the platform doesn't confirm the write.
+    async fn put(&self, body: Vec<u8>) -> Result<Arc<str>, Failure>;
+
+    /// Reads the body with this digest, or `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] when the platform gives no answer, or a body that doesn't match its digest.
+    async fn get(&self, digest: &str) -> Result<Option<Vec<u8>>, Failure>;
+}
--- /dev/null
+++ b/components/settings/src/drain.rs
@@ -0,0 +1,28 @@
+use clock::Millis;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// A planned drain of machines.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Drain {
+    /// The drain's name, unique within the declaration.
+    pub name: Arc<str>,
+    /// What is drained.
+    pub target: Target,
+    /// When the drain begins: leases have ended and no new work arrives from here on.
+    pub start: Millis,
+    /// When the target may be used again.
+    pub end: Millis,
+}
+
+/// What a drain empties.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Target {
+    /// One VM, entry or upstream.
+    Vm(Arc<str>),
+    /// All VMs of a failure domain.
+    Domain(Arc<str>),
+    /// All VMs of a region.
+    Region(Arc<str>),
+}
--- /dev/null
+++ b/components/settings/src/node.rs
@@ -0,0 +1,34 @@
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A node's own file: who it is and whom it talks to.
+#[derive(Clone, Serialize, Deserialize)]
+pub struct Node {
+    /// The VM's name, unique over its whole life.
+    pub vm: Arc<str>,
+    /// The failure domain it runs in.
+    pub domain: Arc<str>,
+    /// Where callers reach this VM's `entryd`.
+    pub caller: SocketAddr,
+    /// Where peers reach this VM's `entryd`, for relayed orders.
+    pub relay: SocketAddr,
+    /// Where peers reach this VM's `controld`.
+    pub peer: SocketAddr,
+    /// Where operators reach this VM's `controld`.
+    pub operator: SocketAddr,
+    /// Where `entryd` reaches its `controld`, on loopback.
+    pub local: SocketAddr,
+    /// The platform's addresses, tried in order.
+    pub platform: Vec<SocketAddr>,
+    /// Peers to ask first, before the VM list is known.
+    pub peers: Vec<SocketAddr>,
+    /// The key that operators present.
+    pub operator_key: Arc<str>,
+    /// The key that peers present and that signs tokens.
+    pub peer_key: Arc<str>,
+    /// The least level that is logged.
+    pub log_level: Arc<str>,
+    /// The most decision lines logged a second.
+    pub log_rate: u32,
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Structured logs and metrics.
--- /dev/null
+++ b/components/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Connections to upstreams, their health and their load reports.
