Add the platform: in-memory fake with faults, HTTP client and stand-in server

Cause: every other part needs the table, the object store and the VM list, and the ways in which they fail.

--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -4,9 +4,12 @@
 //! their answer is lost, so every transaction carries an id by which it can be found again.
 
 mod directory;
+pub mod fake;
+pub mod http;
+pub mod standin;
 mod store;
 mod table;
 
 pub use directory::{Directory, Listing, Machine, Role};
-pub use store::Store;
+pub use store::{Store, digest};
 pub use table::{Check, Commit, Failure, Row, Table, Transaction, Write};
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -19,3 +19,8 @@
     /// [`Failure`] when the platform gives no answer, or a body that doesn't match its digest.
     async fn get(&self, digest: &str) -> Result<Option<Vec<u8>>, Failure>;
 }
+
+/// The digest under which `body` is stored, in hexadecimal.
+pub fn digest(body: &[u8]) -> Arc<str> {
+    blake3::hash(body).to_hex().as_str().into()
+}
