--- /dev/null
+++ b/components/daemon/src/listener.rs
@@ -0,0 +1,54 @@
+use clock::Millis;
+use errors::{Error, Kind};
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::conn::{Acceptor, Listener as _, TcpListener};
+use salvo::prelude::{Router, Server};
+use salvo::server::ServerHandle;
+use std::net::SocketAddr;
+use tokio::task::JoinHandle;
+
+/// A bound address that serves a router until it is closed.
+pub struct Listener {
+    address: SocketAddr,
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl Listener {
+    /// Binds `address`, whose port may be 0, and serves `router` there.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BadSettings`] when the address can't be bound.
+    pub async fn open(address: SocketAddr, router: Router) -> Result<Listener, Error> {
+        let refused = |cause: String| {
+            Error::new(Kind::BadSettings, format!("can't listen on {address}: {cause}"))
+        };
+        let acceptor = TcpListener::new(address)
+            .try_bind()
+            .await
+            .map_err(|cause| refused(cause.to_string()))?;
+        let address = local_address(&acceptor).ok_or_else(|| refused("no local address".into()))?;
+        let server = Server::new(acceptor);
+        let handle = server.handle();
+        let task = tokio::spawn(server.serve(router));
+        Ok(Listener { address, handle, task })
+    }
+
+    /// The address that was bound, with its real port.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, waits at most `patience` for exchanges under way, and ends.
+    pub async fn close(self, patience: Millis) {
+        self.handle.stop_graceful(patience.duration());
+        // The server task ends by itself; a join error means that it was ended with its runtime.
+        let _ = self.task.await;
+    }
+}
+
+fn local_address(acceptor: &TcpAcceptor) -> Option<SocketAddr> {
+    let holding = acceptor.holdings().first()?;
+    holding.local_addr.clone().into_std()
+}
--- /dev/null
+++ b/src/bin/standin.rs
@@ -0,0 +1,84 @@
+//! Stand-ins for the outside systems, for tests and trials on loopback.
+
+use argh::FromArgs;
+use clock::{Clock, Millis};
+use daemon::Listener;
+use errors::{Error, Kind};
+use platform::fake::Platform;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use upstream::Standin;
+use upstream::fake::{Server, Shape};
+
+/// Stand-ins for the outside systems, for tests and trials on loopback.
+#[derive(FromArgs)]
+struct Options {
+    #[argh(subcommand)]
+    system: System,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum System {
+    Platform(PlatformOptions),
+    Upstream(UpstreamOptions),
+}
+
+/// Serve the platform's table, object store and VM list from memory.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct PlatformOptions {
+    /// address to listen on; port 0 takes any
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// Serve as one upstream.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "upstream")]
+struct UpstreamOptions {
+    /// address to listen on; port 0 takes any
+    #[argh(option)]
+    listen: SocketAddr,
+    /// name of the upstream's VM
+    #[argh(option)]
+    name: String,
+    /// requests that run at a time
+    #[argh(option, default = "4")]
+    slots: u32,
+    /// time that a request runs, in ms
+    #[argh(option, default = "5")]
+    service_ms: u64,
+    /// bytes of an answer
+    #[argh(option, default = "256")]
+    answer_bytes: u32,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    match run(options.system).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.answer().exit)
+        }
+    }
+}
+
+async fn run(system: System) -> Result<(), Error> {
+    let listener = match system {
+        System::Platform(options) => open_platform(options).await?,
+        System::Upstream(options) => open_upstream(options).await?,
+    };
+    println!("{}", listener.address());
+    daemon::stop_requested().await?;
+    listener.close(Millis::ZERO).await;
+    Ok(())
+}
+
+async fn open_platform(options: PlatformOptions) -> Result<Listener, Error> {
+    let platform = Platform::new(Clock::system());
+    Listener::open(options.listen, platform::standin::router(platform)).await
+}
