--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -3,13 +3,10 @@
 use argh::FromArgs;
 use clock::{Clock, Millis};
 use daemon::Listener;
-use errors::{Error, Kind};
+use errors::Error;
 use platform::fake::Platform;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::sync::Arc;
-use upstream::Standin;
-use upstream::fake::{Server, Shape};
 
 /// Stand-ins for the outside systems, for tests and trials on loopback.
 #[derive(FromArgs)]
@@ -22,7 +19,6 @@
 #[argh(subcommand)]
 enum System {
     Platform(PlatformOptions),
-    Upstream(UpstreamOptions),
 }
 
 /// Serve the platform's table, object store and VM list from memory.
@@ -34,27 +30,6 @@
     listen: SocketAddr,
 }
 
-/// Serve as one upstream.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "upstream")]
-struct UpstreamOptions {
-    /// address to listen on; port 0 takes any
-    #[argh(option)]
-    listen: SocketAddr,
-    /// name of the upstream's VM
-    #[argh(option)]
-    name: String,
-    /// requests that run at a time
-    #[argh(option, default = "4")]
-    slots: u32,
-    /// time that a request runs, in ms
-    #[argh(option, default = "5")]
-    service_ms: u64,
-    /// bytes of an answer
-    #[argh(option, default = "256")]
-    answer_bytes: u32,
-}
-
 #[tokio::main]
 async fn main() -> ExitCode {
     let options: Options = argh::from_env();
@@ -70,7 +45,6 @@
 async fn run(system: System) -> Result<(), Error> {
     let listener = match system {
         System::Platform(options) => open_platform(options).await?,
-        System::Upstream(options) => open_upstream(options).await?,
     };
     println!("{}", listener.address());
     daemon::stop_requested().await?;
