--- /dev/null
+++ b/components/peer/src/message.rs
@@ -0,0 +1,170 @@
+//! What `controld` processes tell each other.
+//!
+//! Every message and reply begins with a [`Header`], so that any exchange also serves as a
+//! heartbeat: it shows that the sender lives, what it has installed, and passes on a bounded
+//! number of membership changes. See docs/MEMBERSHIP.md.
+
+use crate::Blob;
+use clock::Millis;
+use errors::Kind;
+use serde::{Deserialize, Serialize};
+use settings::Drain;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use steering::{Plan, Vm};
+
+/// The longest message or reply, encoded, in bytes.
+pub const MAX_MESSAGE: usize = 4 << 20;
+
+/// The most membership changes in one header.
+pub const MAX_RECORDS: usize = 8;
+
+/// The most notices of leaving upstreams in one header.
+pub const MAX_NOTICES: usize = 16;
+
+/// A message to another VM's `controld`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// What the sender has.
+    pub header: Header,
+    /// What the sender wants.
+    pub ask: Ask,
+}
+
+/// The answer to a [`Message`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    /// What the replier has.
+    pub header: Header,
+    /// What the sender wanted.
+    pub body: Body,
+}
+
+/// What a node has and what it passes on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Header {
+    /// The sender's VM.
+    pub from: Arc<str>,
+    /// The configuration version and the plan that the sender has installed.
+    pub stamp: Stamp,
+    /// Membership changes that are still being spread.
+    pub records: Vec<Record>,
+    /// Upstreams that are leaving.
+    pub notices: Vec<Notice>,
+}
+
+/// The versions of what a node has installed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Stamp {
+    /// The configuration's version; zero for none.
+    pub version: u64,
+    /// The plan's epoch; zero for none.
+    pub epoch: u64,
+    /// The plan's sequence within its epoch.
+    pub sequence: u64,
+}
+
+/// One VM as the fleet sees it.
+///
+/// Of two records of a VM the one with the greater (incarnation, beat, state) holds. Only the VM
+/// itself raises its beat, so a VM that is suspected wrongly clears itself with a higher one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The VM, with its state.
+    pub vm: Vm,
+    /// Rises with each statement of the VM about itself.
+    pub beat: u64,
+}
+
+/// An upstream that some source reports as leaving.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// How long ago a source last said so, as a span, since the clocks of two VMs differ.
+    pub age: Millis,
+}
+
+/// What a message wants.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// A sign of life.
+    Heartbeat,
+    /// That the receiver fetch what is new at the sender and pass it on.
+    Push {
+        /// The VM from which the news set out.
+        origin: Arc<str>,
+    },
+    /// That the receiver send a heartbeat to a peer that the sender can't reach.
+    Probe {
+        /// The peer's address.
+        peer: SocketAddr,
+    },
+    /// The configuration in force.
+    Current,
+    /// The declaration with this digest.
+    Declaration {
+        /// The digest.
+        digest: Arc<str>,
+    },
+    /// The plan in force.
+    Plan,
+    /// The records of all VMs.
+    Roster,
+    /// That the planner take note of a node's load.
+    Load(Load),
+}
+
+/// What a node tells the planner.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// The epoch of the plan that the node's `entryd` enforces.
+    pub epoch: u64,
+    /// The sequence of the plan that the node's `entryd` enforces.
+    pub sequence: u64,
+    /// Requests a second that the node was asked for, admitted or not.
+    pub rate: f64,
+}
+
+/// What a reply brings.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// The message was taken in.
+    Heard,
+    /// The peer that was to be probed doesn't answer.
+    Unreachable,
+    /// The receiver doesn't have what was asked for, or doesn't do it now.
+    Refused(Kind),
+    /// The configuration in force.
+    Current(Current),
+    /// A declaration's encoded body.
+    Declaration(Blob),
+    /// The plan in force.
+    Plan(Plan),
+    /// The records of all VMs.
+    Roster(Vec<Record>),
+}
+
+/// The row of the table that says which configuration is in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Current {
+    /// Rises by one with each act of an operator.
+    pub version: u64,
+    /// The digest of the declaration's body in the object store.
+    pub digest: Arc<str>,
+    /// The name of the preset in force.
+    pub preset: Arc<str>,
+    /// The drains that are planned.
+    pub drains: Vec<Drain>,
+    /// The latest operations, the last one being the one that made this version.
+    pub operations: Vec<Operation>,
+}
+
+/// An operation that took effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Operation {
+    /// The id that the operator gave it.
+    pub id: Arc<str>,
+    /// The version it made.
+    pub version: u64,
+}
