Answer look-ups by rendezvous hashing, with leases that end before drains

A look-up ranks the VMs of the block's region by hash, names other failure domains next and then the next region. The answer is a Copy value, so the decision itself allocates nothing.

The plan now carries the names of its regions and its splits by home region, so that a changed deployment can't move blocks except as a shift.

--- /dev/null
+++ b/components/steering/src/index.rs
@@ -0,0 +1,219 @@
+use crate::geography::{delay, region_of};
+use crate::{Regions, Snapshot, State};
+use clock::Millis;
+use settings::Target;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Look-up structures, built once for each [`Snapshot`] so that a decision allocates nothing.
+///
+/// Regions, sites and VMs are numbered by their order in the snapshot. See docs/LOOKUP.md.
+#[derive(Debug)]
+pub struct Index {
+    snapshot: Arc<Snapshot>,
+    blocks: Vec<BlockRange>,
+    homes: Vec<u16>,
+    vms: Vec<Entry>,
+    by_region: Vec<Vec<u16>>,
+    nearest: Vec<Vec<u16>>,
+    names: Arc<[Arc<str>]>,
+    region_drains: Vec<Vec<Window>>,
+}
+
+/// What a look-up needs to know of an entry VM.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    /// The hash of the VM's name.
+    pub hash: u64,
+    /// The number of its failure domain, unique over all regions.
+    pub domain: u16,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Whether the plan gives it a share of its region's cap.
+    pub member: bool,
+    /// The planned drains that touch it.
+    pub drains: Vec<Window>,
+}
+
+/// The time from a drain's start to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Window {
+    /// When the drain begins.
+    pub start: Millis,
+    /// When the target may be used again.
+    pub end: Millis,
+}
+
+impl Window {
+    /// Whether the drain is under way at `now`.
+    pub(crate) fn holds(&self, now: Millis) -> bool {
+        self.start <= now && now < self.end
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct BlockRange {
+    first: u32,
+    last: u32,
+    site: u16,
+}
+
+/// A failure domain's number and its region's.
+#[derive(Clone, Copy)]
+struct Domain {
+    number: u16,
+    region: u16,
+}
+
+impl Index {
+    /// Builds the structures for `snapshot`.
+    ///
+    /// VMs in a failure domain that the deployment doesn't have are left out of look-ups.
+    pub fn new(snapshot: Arc<Snapshot>) -> Index {
+        let deployment = Arc::clone(&snapshot.deployment);
+        let domains = number_domains(&snapshot);
+        let names: Arc<[Arc<str>]> =
+            deployment.regions.iter().map(|region| Arc::clone(&region.name)).collect();
+        let mut by_region = vec![Vec::new(); names.len()];
+        let mut vms = Vec::with_capacity(snapshot.vms.len());
+        for (number, vm) in snapshot.vms.iter().enumerate() {
+            let domain = domains.get(&vm.domain);
+            if let Some(domain) = domain {
+                by_region[usize::from(domain.region)].push(number as u16);
+            }
+            vms.push(Entry {
+                hash: xxh3_64(vm.name.as_bytes()),
+                domain: domain.map_or(u16::MAX, |domain| domain.number),
+                state: vm.state,
+                member: snapshot.plan.holds_share(&vm.name),
+                drains: drains_of_vm(&snapshot, &vm.name, &vm.domain),
+            });
+        }
+        Index {
+            blocks: sort_blocks(&snapshot),
+            homes: number_homes(&snapshot, &names),
+            nearest: (0..names.len()).map(|region| by_delay(&snapshot, &names, region)).collect(),
+            region_drains: names.iter().map(|name| drains_of_region(&snapshot, name)).collect(),
+            vms,
+            by_region,
+            names,
+            snapshot,
+        }
+    }
+
+    /// The snapshot that the structures were built for.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
+    }
+
+    /// The names of the regions, in their order.
+    pub fn regions(&self) -> &Arc<[Arc<str>]> {
+        &self.names
+    }
+
+    /// The number of the region called `name`.
+    pub fn region(&self, name: &str) -> Option<u16> {
+        let number = self.names.iter().position(|region| &**region == name)?;
+        Some(number as u16)
+    }
+
+    /// The number of the site that holds `block`.
+    pub fn site(&self, block: u32) -> Option<u16> {
+        let after = self.blocks.partition_point(|range| range.first <= block);
+        let range = self.blocks[..after].last()?;
+        (block <= range.last).then_some(range.site)
+    }
+
+    /// The number of the region nearest to `site`.
+    pub fn home(&self, site: u16) -> u16 {
+        self.homes[usize::from(site)]
+    }
+
+    /// All regions, `region` first and the others by their delay from it.
+    pub fn nearest(&self, region: u16) -> &[u16] {
+        &self.nearest[usize::from(region)]
+    }
+
+    /// The regions that a drain of the whole region empties at `now`.
+    pub fn drained(&self, now: Millis) -> Regions {
+        let mut drained = Regions::NONE;
+        for (region, drains) in self.region_drains.iter().enumerate() {
+            if drains.iter().any(|drain| drain.holds(now)) {
+                drained = drained.with(region as u16);
+            }
+        }
+        drained
+    }
+
+    pub(crate) fn vm(&self, vm: u16) -> &Entry {
+        &self.vms[usize::from(vm)]
+    }
+
+    pub(crate) fn vms_in(&self, region: u16) -> &[u16] {
+        &self.by_region[usize::from(region)]
+    }
+}
+
+fn number_domains(snapshot: &Snapshot) -> BTreeMap<Arc<str>, Domain> {
+    let mut domains = BTreeMap::new();
+    for (region, declared) in snapshot.deployment.regions.iter().enumerate() {
+        for name in &declared.domains {
+            let number = domains.len() as u16;
+            domains.insert(Arc::clone(name), Domain { number, region: region as u16 });
+        }
+    }
+    domains
+}
+
+fn number_homes(snapshot: &Snapshot, names: &[Arc<str>]) -> Vec<u16> {
+    let sites = snapshot.deployment.sites.iter();
+    let home = |name: &Arc<str>| names.iter().position(|region| region == name).unwrap_or(0);
+    sites.map(|site| home(&site.region) as u16).collect()
+}
+
+fn sort_blocks(snapshot: &Snapshot) -> Vec<BlockRange> {
+    let mut blocks = Vec::new();
+    for (site, declared) in snapshot.deployment.sites.iter().enumerate() {
+        let site = site as u16;
+        let ranges = declared.blocks.iter();
+        blocks.extend(ranges.map(|range| BlockRange {
+            first: range.first,
+            last: range.last,
+            site,
+        }));
+    }
+    blocks.sort_by_key(|range| range.first);
+    blocks
+}
+
+fn by_delay(snapshot: &Snapshot, names: &[Arc<str>], from: usize) -> Vec<u16> {
+    let mut order: Vec<u16> = (0..names.len() as u16).collect();
+    order.sort_by_key(|to| {
+        let delay = delay(&snapshot.deployment, &names[from], &names[usize::from(*to)]);
+        (usize::from(*to) != from, delay, *to)
+    });
+    order
+}
+
+fn drains_of_vm(snapshot: &Snapshot, name: &Arc<str>, domain: &Arc<str>) -> Vec<Window> {
+    let region = region_of(&snapshot.deployment, domain).map(|region| Arc::clone(&region.name));
+    let touches = |target: &Target| match target {
+        Target::Vm(vm) => vm == name,
+        Target::Domain(drained) => drained == domain,
+        Target::Region(drained) => Some(drained) == region.as_ref(),
+    };
+    windows(snapshot, touches)
+}
+
+fn drains_of_region(snapshot: &Snapshot, name: &Arc<str>) -> Vec<Window> {
+    windows(snapshot, |target| matches!(target, Target::Region(drained) if drained == name))
+}
+
+fn windows<Touches>(snapshot: &Snapshot, touches: Touches) -> Vec<Window>
+where
+    Touches: Fn(&Target) -> bool,
+{
+    let drains = snapshot.drains.iter().filter(|drain| touches(&drain.target));
+    drains.map(|drain| Window { start: drain.start, end: drain.end }).collect()
+}
--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -3,8 +3,20 @@
 //! A decision takes a [`Snapshot`], an observation, the time and a seed, and returns its reason
 //! with the result, so that it can be logged and tested in virtual time. See docs/DESIGN.md.
 
+mod geography;
+mod index;
+pub mod lease;
+mod lookup;
 mod plan;
+mod regions;
+pub mod sample;
 mod snapshot;
+mod split;
 
-pub use plan::{Member, Plan, Units, WHOLE};
+pub use geography::{delay, region_of};
+pub use index::Index;
+pub use lookup::{Entries, LEASE_FLOOR, Lookup, MAX_ENTRIES, Reason, lookup};
+pub use plan::{Member, Plan, Segment, Split, Stamp, Units, WHOLE};
+pub use regions::Regions;
 pub use snapshot::{Snapshot, State, Upstream, Vm};
+pub use split::position;
--- a/components/steering/src/plan.rs
+++ b/components/steering/src/plan.rs
@@ -4,11 +4,11 @@
 /// The units that the shares of one cap sum to at most.
 pub const WHOLE: u32 = 1_000_000;
 
-/// The planner's decision: who may send how much where, and how far a shift has come.
+/// The planner's decision: who may send how much where, and which shift is under way.
 ///
-/// Plans are totally ordered by `(epoch, sequence)`; a node takes only a greater one. Shares are
-/// units of a cap, so a node works out its limits from the plan and the configuration in force.
-/// See docs/LIMITS.md for why no node ever needs to ask another.
+/// Plans are totally ordered by [`Stamp`]; a node takes only a greater one. Shares are units of a
+/// cap, so a node works out its limits from the plan and the configuration in force. See
+/// docs/LIMITS.md for why no node ever needs to ask another.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
     /// The planner's epoch, which rises whenever the planner's lease changes hands.
@@ -17,16 +17,29 @@
     pub sequence: u64,
     /// The configuration version the plan was made for.
     pub version: u64,
-    /// The entry VMs that hold shares.
+    /// The names of the regions, in the order of every number and row below.
+    pub regions: Vec<Arc<str>>,
+    /// The entry VMs that hold shares, sorted by name.
     pub members: Vec<Member>,
-    /// The weight of each region, in the deployment's order, before the shift under way.
-    pub from: Vec<u32>,
-    /// The weight of each region, in the deployment's order, after the shift under way.
-    pub to: Vec<u32>,
-    /// Blocks whose position is below this have moved and are warm; in units of [`WHOLE`].
+    /// The number of the shift under way, or of the last one.
+    pub shift: u64,
+    /// Where each position was served before the shift; the last segment ends at [`WHOLE`].
+    pub from: Vec<Segment>,
+    /// Where all positions are served after the shift.
+    pub to: Split,
+    /// Positions below this have moved at every node that reports, in units of [`WHOLE`].
     pub settled: u32,
-    /// Blocks whose position is below this may move, under the shift cap; in units of [`WHOLE`].
-    pub progress: u32,
+}
+
+/// The order of plans: a greater stamp supersedes a lesser one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Stamp {
+    /// The planner's epoch.
+    pub epoch: u64,
+    /// The plan's number within its epoch.
+    pub sequence: u64,
 }
 
 /// The shares of one entry VM.
@@ -34,7 +47,7 @@
 pub struct Member {
     /// The VM's name.
     pub vm: Arc<str>,
-    /// The index of the VM's region in the deployment.
+    /// The number of the VM's region.
     pub region: u16,
     /// Its part of its own region's caps, and of the links that leave the region.
     pub home: Units,
@@ -50,3 +63,54 @@
     /// The most that the VM may still believe it holds, until it acknowledges this plan.
     pub held: u32,
 }
+
+/// A run of positions and where they are served.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Segment {
+    /// The first position after the run, in units of [`WHOLE`].
+    pub until: u32,
+    /// Where the run is served.
+    pub split: Split,
+}
+
+/// For the blocks of each home region, the part that each region serves.
+///
+/// A row for each home region, a weight for each region that serves; a row sums to [`WHOLE`]. The
+/// rows stand in the plan, and aren't derived from the deployment, so a change of the deployment
+/// never moves traffic except as a shift.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Split {
+    /// The rows.
+    pub rows: Vec<Vec<u32>>,
+}
+
+impl Plan {
+    /// Where the plan stands in the order of plans.
+    pub fn stamp(&self) -> Stamp {
+        Stamp { epoch: self.epoch, sequence: self.sequence }
+    }
+
+    /// The shares of the VM called `name`.
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        let at = self.members.binary_search_by(|member| (*member.vm).cmp(name)).ok()?;
+        Some(&self.members[at])
+    }
+
+    /// Whether the VM called `name` has a share of its region's caps.
+    pub fn holds_share(&self, name: &str) -> bool {
+        self.member(name).is_some_and(|member| member.home.share > 0)
+    }
+
+    /// Whether the shift has ended at every node that reports.
+    pub fn is_settled(&self) -> bool {
+        self.settled >= WHOLE
+    }
+}
+
+impl Units {
+    /// A share of which nothing more is held.
+    pub const fn even(share: u32) -> Units {
+        Units { share, held: share }
+    }
+}
--- /dev/null
+++ b/components/steering/src/sample.rs
@@ -0,0 +1,155 @@
+//! Small deployments and snapshots for tests, experiments and benches.
+
+use crate::{Member, Plan, Segment, Snapshot, Split, State, Units, Vm, WHOLE};
+use clock::Millis;
+use settings::{Deployment, Link, Preset, Range, Region, Share, Site};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+const REGIONS: [&str; 3] = ["nord", "centre", "sud"];
+const DOMAINS_PER_REGION: usize = 2;
+const REGION_DELAY: Millis = Millis(12);
+const SITE_DELAY: Millis = Millis(3);
+const PORT: u16 = 7000;
+
+/// How large a sample is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Entry VMs, spread evenly over the failure domains.
+    pub vms: usize,
+    /// Sites, spread evenly over the regions.
+    pub sites: usize,
+    /// Client blocks of each site.
+    pub blocks: u32,
+}
+
+impl Size {
+    /// What runs today: nine entry VMs.
+    pub const TODAY: Size = Size { vms: 9, sites: 6, blocks: 100 };
+    /// The size to design for.
+    pub const DESIGN: Size = Size { vms: 700, sites: 110, blocks: 1273 };
+}
+
+/// A deployment of three regions with two failure domains each.
+///
+/// Every region takes `capacity` requests a second. Each block is a range of its own, which is
+/// the most a look-up has to search.
+pub fn deployment(size: Size, capacity: u32) -> Deployment {
+    let site = |number: usize| Site {
+        name: format!("site-{number}").into(),
+        region: REGIONS[number % REGIONS.len()].into(),
+        delay: SITE_DELAY,
+        blocks: blocks_of(number as u32, size.blocks),
+    };
+    Deployment {
+        name: "sample".into(),
+        store_region: REGIONS[0].into(),
+        domain_delay: Millis(5),
+        regions: REGIONS.iter().map(|name| region(name, capacity)).collect(),
+        links: vec![link(0, 1), link(0, 2), link(1, 2)],
+        sites: (0..size.sites).map(site).collect(),
+        services: Vec::new(),
+    }
+}
+
+/// A preset that gives each region `shares` of the traffic.
+pub fn preset(shares: [f64; 3], shift_cap: u32) -> Preset {
+    let share = |(name, share): (&&str, f64)| Share { region: (*name).into(), share };
+    Preset {
+        name: "ordinary".into(),
+        lease_first: Millis::from_secs(5),
+        lease_max: Millis::from_secs(300),
+        lease_growth: 2,
+        shift_cap,
+        shift_step: Millis::from_secs(2),
+        headroom: 0.9,
+        hedge_budget: 0.05,
+        long_share: 0.5,
+        shares: REGIONS.iter().zip(shares).map(share).collect(),
+    }
+}
+
+/// A snapshot in which every block is served in its nearest region and shares are equal.
+pub fn snapshot(size: Size) -> Snapshot {
+    let deployment = deployment(size, 1000);
+    let names: Vec<Arc<str>> = deployment.regions.iter().map(|r| Arc::clone(&r.name)).collect();
+    let vms: Vec<Vm> = (0..size.vms).map(vm).collect();
+    Snapshot {
+        version: 1,
+        digest: "sample".into(),
+        plan: plan(names, &vms),
+        deployment: Arc::new(deployment),
+        preset: preset([1.0 / 3.0; 3], 100),
+        drains: Vec::new(),
+        vms,
+        upstreams: Vec::new(),
+    }
+}
+
+/// The sample's entry VM of this number; names sort as the numbers do.
+pub fn vm(number: usize) -> Vm {
+    let octets = [10, 0, (number >> 8) as u8, number as u8];
+    let address = SocketAddr::from((Ipv4Addr::from(octets), PORT));
+    Vm {
+        name: format!("vm-{number:04}").into(),
+        incarnation: 1,
+        domain: domain_of(number),
+        caller: address,
+        relay: address,
+        peer: address,
+        state: State::Live,
+    }
+}
+
+/// The number of the region of the sample's entry VM of this number.
+pub fn region_of_vm(number: usize) -> u16 {
+    (number % REGIONS.len()) as u16
+}
+
+fn plan(regions: Vec<Arc<str>>, vms: &[Vm]) -> Plan {
+    let each = WHOLE / vms.len() as u32;
+    let member = |(number, vm): (usize, &Vm)| Member {
+        vm: Arc::clone(&vm.name),
+        region: region_of_vm(number),
+        home: Units::even(each),
+        away: Units::even(each),
+    };
+    let split = Split::nearest(regions.len());
+    Plan {
+        epoch: 1,
+        sequence: 1,
+        version: 1,
+        members: vms.iter().enumerate().map(member).collect(),
+        from: vec![Segment { until: WHOLE, split: split.clone() }],
+        to: split,
+        settled: WHOLE,
+        shift: 1,
+        regions,
+    }
+}
+
+fn domain_of(number: usize) -> Arc<str> {
+    let region = REGIONS[number % REGIONS.len()];
+    let domain = number / REGIONS.len() % DOMAINS_PER_REGION;
+    format!("{region}-{domain}").into()
+}
+
+fn region(name: &str, capacity: u32) -> Region {
+    let domain = |number| format!("{name}-{number}").into();
+    let domains = (0..DOMAINS_PER_REGION).map(domain).collect();
+    Region { name: name.into(), domains, capacity }
+}
+
+fn link(from: usize, to: usize) -> Link {
+    Link {
+        from: REGIONS[from].into(),
+        to: REGIONS[to].into(),
+        capacity_mbit: 280,
+        delay: REGION_DELAY,
+    }
+}
+
+fn blocks_of(site: u32, count: u32) -> Vec<Range> {
+    let first = site * count * 2;
+    (0..count).map(|block| Range { first: first + 2 * block, last: first + 2 * block }).collect()
+}
