--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -7,6 +7,7 @@
 mod index;
 pub mod lease;
 mod lookup;
+pub mod limit;
 mod plan;
 mod regions;
 pub mod sample;
