Shape the operators' interface and its messages

Each act carries the version it was decided on and an operation id, so a repeat is idempotent and the loser of a race learns who won. Deployment gains the number of entry VMs that the platform runs.

--- a/components/operator/src/lib.rs
+++ b/components/operator/src/lib.rs
@@ -1,1 +1,11 @@
 //! The operators' interface and its client.
+//!
+//! Operators choose the preset in force and plan drains; they never steer a request. Each act is
+//! one transaction on the version that the operator read, so of two that race one wins and the
+//! other learns who won. See docs/OPERATORS.md.
+
+mod api;
+pub mod wire;
+
+pub use api::Api;
+pub use wire::Refusal;
--- a/components/settings/src/deployment.rs
+++ b/components/settings/src/deployment.rs
@@ -11,6 +11,8 @@
     pub store_region: Arc<str>,
     /// One-way delay between failure domains of a region.
     pub domain_delay: Millis,
+    /// Entry VMs that the platform is to run, over all regions.
+    pub entries: u32,
     /// Regions, in the order of the file.
     pub regions: Vec<Region>,
     /// Links between regions, one for each pair.
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -6,11 +6,13 @@
 mod drain;
 mod node;
 mod preset;
+mod source;
 
 pub use deployment::{Class, Deployment, Link, Range, Region, Service, Site};
 pub use drain::{Drain, Target};
 pub use node::Node;
 pub use preset::{Preset, Share};
+pub use source::Source;
 
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/components/settings/src/source.rs
@@ -0,0 +1,12 @@
+use serde::{Deserialize, Serialize};
+
+/// The text of a declaration's files, as operators send it and as it is checked.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Source {
+    /// `deployment.ini`.
+    pub deployment: String,
+    /// `presets.ini`.
+    pub presets: String,
+    /// `drains.ini`.
+    pub drains: String,
+}
