--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -6,8 +6,8 @@
 mod geography;
 mod index;
 pub mod lease;
-mod lookup;
 pub mod limit;
+mod lookup;
 mod plan;
 mod regions;
 pub mod sample;
--- a/components/steering/src/sample.rs
+++ b/components/steering/src/sample.rs
@@ -45,6 +45,7 @@
         name: "sample".into(),
         store_region: REGIONS[0].into(),
         domain_delay: Millis(5),
+        entries: size.vms as u32,
         regions: REGIONS.iter().map(|name| region(name, capacity)).collect(),
         links: vec![link(0, 1), link(0, 2), link(1, 2)],
         sites: (0..size.sites).map(site).collect(),
