--- /dev/null
+++ b/components/entry/src/fake/process.rs
@@ -0,0 +1,128 @@
+use async_trait::async_trait;
+use futures_util::{StreamExt, stream};
+use platform::{Commit, Failure, Row, Table, Transaction};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::watch;
+use upstream::load::Load;
+use upstream::{Attempt, Body, Reply, Transport};
+
+/// What a process is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It runs.
+    Running,
+    /// It is paused and goes on where it was once it runs again.
+    Frozen,
+    /// It was killed: nothing of it goes on.
+    Killed,
+}
+
+/// The process of one entry VM, which tests pause and kill at any await.
+///
+/// Everything that its entry sends or receives passes here first. What it had handed to an
+/// upstream or to the platform before goes on there.
+#[derive(Clone)]
+pub struct Process {
+    mode: watch::Sender<Mode>,
+}
+
+impl Process {
+    /// A process that runs.
+    pub fn new() -> Process {
+        Process { mode: watch::Sender::new(Mode::Running) }
+    }
+
+    /// Pauses, continues or kills the process.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_if_modified(|current| {
+            let alive = *current != Mode::Killed;
+            if alive {
+                *current = mode;
+            }
+            alive
+        });
+    }
+
+    /// What the process is doing.
+    pub fn mode(&self) -> Mode {
+        *self.mode.borrow()
+    }
+
+    /// Waits until the process runs, for ever if it was killed.
+    pub async fn pass(&self) {
+        let mut mode = self.mode.subscribe();
+        // The sender lives as long as `self`, so the wait can't end with an error.
+        let _ = mode.wait_for(|mode| *mode == Mode::Running).await;
+    }
+
+    /// Waits until the process was killed.
+    pub async fn killed(&self) {
+        let mut mode = self.mode.subscribe();
+        let _ = mode.wait_for(|mode| *mode == Mode::Killed).await;
+    }
+
+    /// `transport` as this process uses it.
+    pub fn transport(&self, transport: Arc<dyn Transport>) -> Arc<dyn Transport> {
+        Arc::new(Paused { process: self.clone(), inner: transport })
+    }
+
+    /// `table` as this process uses it.
+    pub fn table(&self, table: Arc<dyn Table>) -> Arc<dyn Table> {
+        Arc::new(Paused { process: self.clone(), inner: table })
+    }
+}
+
+impl Default for Process {
+    fn default() -> Process {
+        Process::new()
+    }
+}
+
+struct Paused<Inner>
+where
+    Inner: ?Sized,
+{
+    process: Process,
+    inner: Arc<Inner>,
+}
+
+#[async_trait]
+impl Transport for Paused<dyn Transport> {
+    async fn send(&self, attempt: Attempt) -> Result<Reply, upstream::Failure> {
+        self.process.pass().await;
+        let reply = self.inner.send(attempt).await;
+        self.process.pass().await;
+        reply.map(|reply| Reply { body: pause_body(self.process.clone(), reply.body), ..reply })
+    }
+
+    async fn load(&self, address: SocketAddr) -> Result<Load, upstream::Failure> {
+        self.process.pass().await;
+        self.inner.load(address).await
+    }
+}
+
+#[async_trait]
+impl Table for Paused<dyn Table> {
+    async fn read(&self, key: &str) -> Result<Option<Row>, Failure> {
+        self.process.pass().await;
+        let row = self.inner.read(key).await;
+        self.process.pass().await;
+        row
+    }
+
+    async fn commit(&self, transaction: Transaction) -> Result<Commit, Failure> {
+        self.process.pass().await;
+        let commit = self.inner.commit(transaction).await;
+        self.process.pass().await;
+        commit
+    }
+}
+
+fn pause_body(process: Process, body: Body) -> Body {
+    Box::pin(stream::unfold((process, body), |(process, mut body)| async move {
+        let item = body.next().await?;
+        process.pass().await;
+        Some((item, (process, body)))
+    }))
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod core;
 mod download;
 mod entry;
+pub mod fake;
 mod fetch;
 mod gate;
 mod job;
--- /dev/null
+++ b/components/entry/tests/at_most_once.rs
@@ -0,0 +1,207 @@
+//! Random schedules of faults against the promise that an order runs at most once.
+
+mod world;
+
+use clock::Millis;
+use entry::fake::Mode;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::sync::Arc;
+use upstream::fake::Fault;
+use world::{Ask, World};
+
+/// Schedules of one test; eight tests make the hundred thousand.
+const SCHEDULES: u32 = 12_500;
+const ENTRIES: [&str; 3] = ["e1", "e2", "e3"];
+const IDS: usize = 4;
+const SETTLE: Millis = Millis::from_secs(12);
+
+#[derive(Clone, Debug)]
+struct Step {
+    gap: u64,
+    act: Act,
+}
+
+#[derive(Clone, Debug)]
+enum Act {
+    Order { via: usize, id: usize, budget: u64 },
+    Gone,
+    Set { entry: usize, mode: Mode },
+    Restart { entry: usize },
+    Stop { entry: usize },
+    Platform(platform::fake::Fault),
+    Mend,
+    Relays { cut: bool },
+    LoseOutcomes,
+    Upstream(Fault),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    let entry = 0..ENTRIES.len();
+    prop_oneof![
+        6 => (entry.clone(), 0..IDS, prop_oneof![Just(5000), 5..60u64])
+            .prop_map(|(via, id, budget)| Act::Order { via, id, budget }),
+        1 => Just(Act::Gone),
+        2 => (entry.clone(), prop_oneof![Just(Mode::Frozen), Just(Mode::Running)])
+            .prop_map(|(entry, mode)| Act::Set { entry, mode }),
+        1 => entry.clone().prop_map(|entry| Act::Set { entry, mode: Mode::Killed }),
+        1 => entry.clone().prop_map(|entry| Act::Restart { entry }),
+        1 => entry.prop_map(|entry| Act::Stop { entry }),
+        3 => platform_fault().prop_map(Act::Platform),
+        1 => Just(Act::Mend),
+        1 => any::<bool>().prop_map(|cut| Act::Relays { cut }),
+        1 => Just(Act::LoseOutcomes),
+        4 => upstream_fault().prop_map(Act::Upstream),
+    ]
+}
+
+fn platform_fault() -> impl Strategy<Value = platform::fake::Fault> {
+    use platform::fake::Fault;
+    prop_oneof![
+        Just(Fault::TableDown),
+        (5..40u64).prop_map(|span| Fault::Slow(Millis(span))),
+        (1..3u32).prop_map(Fault::LoseAnswers),
+        (1..3u32).prop_map(Fault::LoseRequests),
+        Just(Fault::Cut("e1".into())),
+    ]
+}
+
+fn upstream_fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        Just(Fault::Refuse),
+        Just(Fault::CloseBefore),
+        Just(Fault::CloseAfter),
+        Just(Fault::Shed),
+        Just(Fault::RunThenShed),
+        (5..80u64).prop_map(|span| Fault::Late(Millis(span))),
+        Just(Fault::DieHalfway),
+    ]
+}
+
+fn schedule() -> impl Strategy<Value = Vec<Step>> {
+    let step = (0..15u64, act()).prop_map(|(gap, act)| Step { gap, act });
+    prop::collection::vec(step, 3..14)
+}
+
+async fn play(steps: Vec<Step>) -> Result<(), String> {
+    let mut world = World::new();
+    let ids = ids(&world)?;
+    for (number, step) in steps.into_iter().enumerate() {
+        world.clock.sleep(Millis(step.gap)).await;
+        take(&mut world, &ids, number, step.act);
+    }
+    finish(&mut world, &ids).await;
+    world.check()
+}
+
+// Two ids that are claimed in the table and two that name their home.
+fn ids(world: &World) -> Result<Vec<Arc<str>>, String> {
+    let homed = |via: &str| world.prefix(via).map(|prefix| Arc::from(format!("{prefix}~x")));
+    Ok(vec!["plain-1".into(), "plain-2".into(), homed("e1")?, homed("e2")?])
+}
+
+fn take(world: &mut World, ids: &[Arc<str>], number: usize, act: Act) {
+    match act {
+        Act::Order { via, id, budget } => {
+            world.ask(order(format!("r{number}"), via, &ids[id], budget));
+        }
+        Act::Gone => {
+            if let Some((_, call)) = world.callers.pop_last() {
+                call.abort();
+            }
+        }
+        Act::Set { entry, mode } => world.set(ENTRIES[entry], mode),
+        Act::Restart { entry } => world.start(ENTRIES[entry], 2 + number as u64),
+        Act::Stop { entry } => world.stop(ENTRIES[entry]),
+        Act::Platform(fault) => world.platform.inject(fault),
+        Act::Mend => world.platform.mend(),
+        Act::Relays { cut } => world.relays.set_cut(cut),
+        Act::LoseOutcomes => world.relays.lose_outcomes(1),
+        Act::Upstream(fault) => world.fleet.inject(fault),
+    }
+}
+
+// Everything is mended and every order repeated everywhere, so a second run would show.
+async fn finish(world: &mut World, ids: &[Arc<str>]) {
+    world.platform.mend();
+    world.relays.set_cut(false);
+    for name in ENTRIES {
+        world.set(name, Mode::Running);
+    }
+    world.clock.sleep(SETTLE).await;
+    for via in 0..ENTRIES.len() {
+        for (number, id) in ids.iter().enumerate() {
+            world.ask(order(format!("last-{via}-{number}"), via, id, 5000));
+        }
+    }
+    world.clock.sleep(SETTLE).await;
+}
+
+fn order(name: String, via: usize, id: &Arc<str>, budget: u64) -> Ask {
+    Ask {
+        name,
+        via: ENTRIES[via].into(),
+        service: "orders".into(),
+        path: "/place".into(),
+        block: 0,
+        order: Some(Arc::clone(id)),
+        budget: Some(Millis(budget)),
+    }
+}
+
+fn run(seed: u8) {
+    let config = Config { cases: SCHEDULES, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let result = runner.run(&schedule(), |steps| {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        runtime.block_on(play(steps)).map_err(TestCaseError::fail)
+    });
+    if let Err(error) = result {
+        panic!("seed {seed}: {error}");
+    }
+}
+
+#[test]
+fn an_order_runs_at_most_once_seed_1() {
+    run(1);
+}
+
+#[test]
+fn an_order_runs_at_most_once_seed_2() {
+    run(2);
+}
+
+#[test]
+fn an_order_runs_at_most_once_seed_3() {
+    run(3);
+}
+
+#[test]
+fn an_order_runs_at_most_once_seed_4() {
+    run(4);
+}
+
+#[test]
+fn an_order_runs_at_most_once_seed_5() {
+    run(5);
+}
+
+#[test]
+fn an_order_runs_at_most_once_seed_6() {
+    run(6);
+}
+
+#[test]
+fn an_order_runs_at_most_once_seed_7() {
+    run(7);
+}
+
+#[test]
+fn an_order_runs_at_most_once_seed_8() {
+    run(8);
+}
--- /dev/null
+++ b/components/entry/tests/drive/mod.rs
@@ -0,0 +1,170 @@
+//! Reads the steps of a session and takes them in a world.
+
+use crate::world::{Ask, World};
+use clock::Millis;
+use entry::fake::Mode;
+use session::{Script, Step};
+use std::error::Error;
+use std::sync::Arc;
+use steering::State;
+use upstream::fake::Fault;
+
+const SETTLE: Millis = Millis::from_secs(60);
+const PATH: &str = "/place";
+
+pub fn run(script: &Script) -> Result<Vec<String>, Box<dyn Error>> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build()?;
+    runtime.block_on(play(script))
+}
+
+async fn play(script: &Script) -> Result<Vec<String>, Box<dyn Error>> {
+    let mut world = World::new();
+    for step in &script.steps {
+        world.clock.sleep_until(step.at).await;
+        take(&mut world, step)?;
+    }
+    world.clock.sleep(SETTLE).await;
+    world.check()?;
+    let mut lines = world.transcript.lines();
+    lines.extend(ran(&world));
+    Ok(lines)
+}
+
+// The list is the upstreams' own, so it shows what ran whatever the entry VMs answered.
+fn ran(world: &World) -> Vec<String> {
+    let mut runs = world.fleet.ran();
+    runs.sort_by_key(|run| run.at);
+    let order = |id: &str| id.rsplit('~').next().unwrap_or_default().to_string();
+    let line = |run: &upstream::fake::Run| {
+        format!("ran at {}: {} {} {}", run.at, run.upstream, run.request, order(&run.order))
+            .trim_end()
+            .to_string()
+    };
+    runs.iter().map(line).collect()
+}
+
+fn take(world: &mut World, step: &Step) -> Result<(), Box<dyn Error>> {
+    match step.verb.as_str() {
+        "order" | "get" => {
+            let ask = ask(world, step)?;
+            world.ask(ask);
+        }
+        "gone" => world.callers[word(step)?].abort(),
+        "prefix" => prefix(world, step)?,
+        "start" => world.start(word(step)?, number(step, "incarnation")?),
+        "stop" => world.stop(word(step)?),
+        "kill" => world.set(word(step)?, Mode::Killed),
+        "freeze" => world.set(word(step)?, Mode::Frozen),
+        "thaw" => world.set(word(step)?, Mode::Running),
+        "platform" => platform(world, step)?,
+        "relays" => relays(world, step)?,
+        "fault" => fault(world, step)?,
+        "upstream" => upstream(world, step)?,
+        verb => return Err(format!("unknown step {verb}").into()),
+    }
+    Ok(())
+}
+
+fn ask(world: &World, step: &Step) -> Result<Ask, Box<dyn Error>> {
+    let service = step.option("service").unwrap_or("orders");
+    Ok(Ask {
+        name: word(step)?.into(),
+        via: step.option("via").ok_or("via is missing")?.into(),
+        service: service.into(),
+        path: step.option("path").unwrap_or(PATH).into(),
+        block: 0,
+        order: step.option("id").map(|id| order_id(world, id)),
+        budget: step.option("budget").map(str::parse).transpose()?.map(Millis),
+    })
+}
+
+// `name/rest` stands for the prefix that was kept as `name`, followed by `rest`.
+fn order_id(world: &World, id: &str) -> Arc<str> {
+    match id.split_once('/') {
+        Some((name, rest)) => format!("{}~{rest}", world.prefixes[name]).into(),
+        None => id.into(),
+    }
+}
+
+fn prefix(world: &mut World, step: &Step) -> Result<(), Box<dyn Error>> {
+    let via = step.option("via").ok_or("via is missing")?;
+    let prefix = world.prefix(via)?;
+    world.prefixes.insert(word(step)?.into(), prefix);
+    Ok(())
+}
+
+fn platform(world: &World, step: &Step) -> Result<(), Box<dyn Error>> {
+    use platform::fake::Fault;
+    let fault = match word(step)? {
+        "down" => Fault::TableDown,
+        "slow" => Fault::Slow(Millis(number(step, "ms")?)),
+        "lose-answers" => Fault::LoseAnswers(number(step, "count")? as u32),
+        "lose-requests" => Fault::LoseRequests(number(step, "count")? as u32),
+        "cut" => Fault::Cut(step.option("from").ok_or("from is missing")?.into()),
+        "mend" => {
+            world.platform.mend();
+            return Ok(());
+        }
+        other => return Err(format!("unknown platform fault {other}").into()),
+    };
+    world.platform.inject(fault);
+    Ok(())
+}
+
+fn relays(world: &World, step: &Step) -> Result<(), Box<dyn Error>> {
+    match word(step)? {
+        "cut" => world.relays.set_cut(true),
+        "mend" => world.relays.set_cut(false),
+        "lose-outcomes" => world.relays.lose_outcomes(number(step, "count")? as u32),
+        other => return Err(format!("unknown relay fault {other}").into()),
+    }
+    Ok(())
+}
+
+fn fault(world: &World, step: &Step) -> Result<(), Box<dyn Error>> {
+    let name = step.words.get(1).ok_or("a fault is missing")?;
+    let fault = Fault::parse(name).ok_or_else(|| format!("unknown fault {name}"))?;
+    match word(step)? {
+        "next" => world.fleet.inject(fault),
+        name => servers(world, name).iter().for_each(|server| server.inject(fault)),
+    }
+    Ok(())
+}
+
+fn upstream(world: &mut World, step: &Step) -> Result<(), Box<dyn Error>> {
+    let name = word(step)?;
+    let change = step.words.get(1).ok_or("a change is missing")?;
+    match change.as_str() {
+        "down" => servers(world, name).iter().for_each(|server| server.set_down(true)),
+        "up" => servers(world, name).iter().for_each(|server| server.set_down(false)),
+        "leaving" => servers(world, name).iter().for_each(|server| server.set_leaving(true)),
+        "staying" => servers(world, name).iter().for_each(|server| server.set_leaving(false)),
+        "listed-leaving" => world.set_upstream(name, State::Leaving),
+        "listed-live" => world.set_upstream(name, State::Live),
+        "service" => {
+            let span = Millis(number(step, "ms")?);
+            servers(world, name).iter().for_each(|server| server.set_service(span));
+        }
+        other => return Err(format!("unknown change {other}").into()),
+    }
+    Ok(())
+}
+
+// `o*` stands for every upstream of the service.
+fn servers(world: &World, name: &str) -> Vec<Arc<upstream::fake::Server>> {
+    match name.strip_suffix('*') {
+        Some(first) => (1..=6).map(|number| world.server(&format!("{first}{number}"))).collect(),
+        None => vec![world.server(name)],
+    }
+}
+
+fn word(step: &Step) -> Result<&str, Box<dyn Error>> {
+    let missing = || format!("{} needs a word", step.verb);
+    Ok(step.words.first().ok_or_else(missing)?)
+}
+
+fn number(step: &Step, key: &str) -> Result<u64, Box<dyn Error>> {
+    let missing = || format!("{} needs {key}", step.verb);
+    Ok(step.option(key).ok_or_else(missing)?.parse()?)
+}
--- /dev/null
+++ b/components/entry/tests/world/mod.rs
@@ -0,0 +1,191 @@
+//! Entry VMs over fakes in virtual time, driven by the steps of a session or a schedule.
+
+mod ask;
+mod layout;
+mod transcript;
+
+pub use ask::Ask;
+pub use transcript::Transcript;
+
+use caller::Handler;
+use clock::{Clock, Millis};
+use entry::fake::{Mode, Process, Relays};
+use entry::{Config, Entry};
+use platform::fake::Platform;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use steering::{Snapshot, State};
+use tokio::task::JoinHandle;
+use upstream::fake::Fleet;
+
+const PEER_KEY: &str = "the key that all entry VMs of a session share";
+const SEED: u64 = 7;
+const RELAY_DELAY: Millis = Millis(2);
+
+pub struct Node {
+    pub process: Process,
+    pub entry: Entry,
+}
+
+pub struct World {
+    pub clock: Clock,
+    pub platform: Arc<Platform>,
+    pub fleet: Arc<Fleet>,
+    pub relays: Arc<Relays>,
+    pub nodes: BTreeMap<String, Node>,
+    pub transcript: Transcript,
+    pub callers: BTreeMap<String, JoinHandle<()>>,
+    pub prefixes: BTreeMap<String, Arc<str>>,
+    snapshot: Snapshot,
+}
+
+impl World {
+    /// Three entry VMs `e1` to `e3`, and six upstreams of each service.
+    pub fn new() -> World {
+        let clock = Clock::at(Millis::ZERO);
+        let snapshot = layout::snapshot();
+        let world = World {
+            clock,
+            platform: Platform::new(clock),
+            fleet: layout::fleet(&snapshot, clock),
+            relays: Relays::new(clock, RELAY_DELAY),
+            nodes: BTreeMap::new(),
+            transcript: Transcript::default(),
+            callers: BTreeMap::new(),
+            prefixes: BTreeMap::new(),
+            snapshot,
+        };
+        world.started()
+    }
+
+    fn started(mut self) -> World {
+        for name in ["e1", "e2", "e3"] {
+            self.start(name, 1);
+        }
+        self
+    }
+
+    /// Starts the entry VM `name`, in place of the one that ran there.
+    pub fn start(&mut self, name: &str, incarnation: u64) {
+        let vm = self.vm_mut(name);
+        vm.incarnation = incarnation;
+        vm.state = State::Live;
+        let (domain, relay) = (Arc::clone(&vm.domain), vm.relay);
+        let process = Process::new();
+        let config = Config::new(name.into(), domain, incarnation, PEER_KEY.into());
+        let transport: Arc<dyn upstream::Transport> = Arc::clone(&self.fleet) as _;
+        let entry = Entry::new(
+            config,
+            self.clock,
+            SEED + incarnation,
+            process.transport(transport),
+            process.table(self.platform.client(name)),
+            Arc::clone(&self.relays) as _,
+        );
+        self.relays.put(relay, process.clone(), entry.clone());
+        self.nodes.insert(name.into(), Node { process, entry });
+        self.install();
+    }
+
+    /// Pauses, continues or kills an entry VM; callers of a killed one lose their connection.
+    pub fn set(&mut self, name: &str, mode: Mode) {
+        self.nodes[name].process.set(mode);
+    }
+
+    /// Stops an entry VM gracefully and notes when it has ended.
+    pub fn stop(&mut self, name: &str) {
+        self.vm_mut(name).state = State::Leaving;
+        let entry = self.nodes[name].entry.clone();
+        let (clock, transcript) = (self.clock, self.transcript.clone());
+        let line = format!("{name} ended");
+        tokio::spawn(async move {
+            entry.close().await;
+            transcript.note(clock.now(), &line);
+        });
+        self.install();
+    }
+
+    /// Changes what the configuration says of an upstream.
+    pub fn set_upstream(&mut self, name: &str, state: State) {
+        for upstream in &mut self.snapshot.upstreams {
+            if &*upstream.name == name {
+                upstream.state = state;
+            }
+        }
+        self.install();
+    }
+
+    /// The address of an upstream.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        let mut upstreams = self.snapshot.upstreams.iter();
+        upstreams.find(|upstream| &*upstream.name == name).expect("a known upstream").address
+    }
+
+    /// The stand-in of an upstream.
+    pub fn server(&self, name: &str) -> Arc<upstream::fake::Server> {
+        self.fleet.get(self.address(name)).expect("a known upstream")
+    }
+
+    fn install(&self) {
+        let snapshot = Arc::new(self.snapshot.clone());
+        for node in self.nodes.values() {
+            node.entry.install(Arc::clone(&snapshot));
+        }
+    }
+
+    fn vm_mut(&mut self, name: &str) -> &mut steering::Vm {
+        let mut vms = self.snapshot.vms.iter_mut();
+        vms.find(|vm| &*vm.name == name).expect("a known entry VM")
+    }
+
+    /// Sends a request and notes its answer when it comes.
+    pub fn ask(&mut self, ask: Ask) {
+        let name = ask.name.clone();
+        let node = &self.nodes[&ask.via];
+        let (entry, process) = (node.entry.clone(), node.process.clone());
+        let (clock, transcript) = (self.clock, self.transcript.clone());
+        let call = tokio::spawn(async move {
+            let lost = format!("{} lost its connection", ask.name);
+            let line = tokio::select! {
+                biased;
+                () = process.killed() => lost,
+                line = answer(ask, &entry, &process) => line,
+            };
+            transcript.note(clock.now(), &line);
+        });
+        self.callers.insert(name, call);
+    }
+
+    /// The order prefix that an entry VM gives callers.
+    pub fn prefix(&self, via: &str) -> Result<Arc<str>, String> {
+        let query = caller::lookup::Query { block: 0, service: "orders".into(), token: None };
+        let answer = self.nodes[via].entry.look_up(&query);
+        answer.map(|answer| answer.order_prefix).map_err(|refusal| refusal.error.to_string())
+    }
+
+    /// Breaks the promise's invariants down into errors: no order twice, no refusal untrue.
+    pub fn check(&self) -> Result<(), String> {
+        let ran = self.fleet.ran();
+        let mut orders = BTreeMap::new();
+        for run in ran.iter().filter(|run| !run.order.is_empty()) {
+            *orders.entry(&run.order).or_insert(0) += 1;
+        }
+        if let Some((order, times)) = orders.iter().find(|(_, times)| **times > 1) {
+            return Err(format!("order {order} ran {times} times"));
+        }
+        let refused = self.transcript.not_run();
+        match ran.iter().find(|run| refused.contains(&run.request)) {
+            Some(run) => Err(format!("{} was refused as not run and ran", run.request)),
+            None => Ok(()),
+        }
+    }
+}
+
+// A paused entry VM takes requests and writes answers only once it goes on.
+async fn answer(ask: Ask, entry: &Entry, process: &Process) -> String {
+    process.pass().await;
+    let line = ask.run(entry).await;
+    process.pass().await;
+    line
+}
--- a/components/upstream/src/fake/fleet.rs
+++ b/components/upstream/src/fake/fleet.rs
@@ -1,9 +1,9 @@
-use crate::fake::{Run, Server};
+use crate::fake::{Fault, Run, Server};
 use crate::load::Load;
 use crate::verify::{Expected, check};
 use crate::{Attempt, Failure, Reply, Transport, header};
 use async_trait::async_trait;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
@@ -11,6 +11,7 @@
 #[derive(Default)]
 pub struct Fleet {
     servers: Mutex<BTreeMap<SocketAddr, Arc<Server>>>,
+    faults: Mutex<VecDeque<Fault>>,
 }
 
 impl Fleet {
@@ -29,6 +30,11 @@
         self.servers.lock().expect("no panic while locked").get(&address).cloned()
     }
 
+    /// Adds a fault for the next request that has none yet, at whichever server it arrives.
+    pub fn inject(&self, fault: Fault) {
+        self.faults.lock().expect("no panic while locked").push_back(fault);
+    }
+
     /// Everything that any server ran, by server in the order of addresses.
     pub fn ran(&self) -> Vec<Run> {
         let servers = self.servers.lock().expect("no panic while locked");
@@ -45,6 +51,8 @@
 impl Transport for Fleet {
     async fn send(&self, attempt: Attempt) -> Result<Reply, Failure> {
         let server = self.reach(attempt.address)?;
+        let fault = self.faults.lock().expect("no panic while locked").pop_front();
+        fault.into_iter().for_each(|fault| server.inject_first(fault));
         let id = attempt.headers.get(header::REQUEST_ID).cloned();
         let expected = Expected { method: attempt.method.clone(), id };
         check(&expected, server.serve(attempt).await?)
--- a/components/upstream/src/fake/server.rs
+++ b/components/upstream/src/fake/server.rs
@@ -101,6 +101,11 @@
         self.state().faults.push_back(fault);
     }
 
+    /// Adds a fault for the very next request.
+    pub(super) fn inject_first(&self, fault: Fault) {
+        self.state().faults.push_front(fault);
+    }
+
     /// Takes the server down, or brings it back.
     pub fn set_down(&self, down: bool) {
         self.state().down = down;
