--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -7,6 +7,9 @@
 use platform::fake::Platform;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
+use upstream::Standin;
+use upstream::fake::{Server, Shape};
 
 /// Stand-ins for the outside systems, for tests and trials on loopback.
 #[derive(FromArgs)]
@@ -19,6 +22,7 @@
 #[argh(subcommand)]
 enum System {
     Platform(PlatformOptions),
+    Upstream(UpstreamOptions),
 }
 
 /// Serve the platform's table, object store and VM list from memory.
@@ -30,6 +34,24 @@
     listen: SocketAddr,
 }
 
+/// Serve as one upstream.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "upstream")]
+struct UpstreamOptions {
+    /// address to listen on; port 0 takes any
+    #[argh(option)]
+    listen: SocketAddr,
+    /// name of the upstream's VM
+    #[argh(option)]
+    name: String,
+    /// requests that run at a time
+    #[argh(option, default = "4")]
+    slots: u32,
+    /// time that a request runs, in ms
+    #[argh(option, default = "5")]
+    service_ms: u64,
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let options: Options = argh::from_env();
@@ -45,6 +67,7 @@
 async fn run(system: System) -> Result<(), Error> {
     let listener = match system {
         System::Platform(options) => open_platform(options).await?,
+        System::Upstream(options) => open_upstream(options).await?,
     };
     println!("{}", listener.address());
     daemon::stop_requested().await?;
@@ -56,3 +79,10 @@
     let platform = Platform::new(Clock::system());
     Listener::open(options.listen, platform::standin::router(platform)).await
 }
+
+async fn open_upstream(options: UpstreamOptions) -> Result<Listener, Error> {
+    let shape =
+        Shape { slots: options.slots, service: Millis(options.service_ms), ..Shape::default() };
+    let server = Server::new(options.name.into(), Clock::system(), shape);
+    Listener::open(options.listen, Standin::new(Arc::new(server)).router()).await
+}
