--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -5,5 +5,5 @@
 mod listener;
 mod signal;
 
-pub use listener::Listener;
+pub use listener::{Listener, Socket};
 pub use signal::stop_requested;
--- a/components/daemon/src/listener.rs
+++ b/components/daemon/src/listener.rs
@@ -7,32 +7,57 @@
 use std::net::SocketAddr;
 use tokio::task::JoinHandle;
 
-/// A bound address that serves a router until it is closed.
-pub struct Listener {
+/// A bound address that doesn't serve yet, so that its port can be told to others first.
+pub struct Socket {
     address: SocketAddr,
-    handle: ServerHandle,
-    task: JoinHandle<()>,
+    acceptor: TcpAcceptor,
 }
 
-impl Listener {
-    /// Binds `address`, whose port may be 0, and serves `router` there.
+impl Socket {
+    /// Binds `address`, whose port may be 0.
     ///
     /// # Errors
     ///
     /// [`Kind::BadSettings`] when the address can't be bound.
-    pub async fn open(address: SocketAddr, router: Router) -> Result<Listener, Error> {
+    pub async fn bind(address: SocketAddr) -> Result<Socket, Error> {
         let refused = |cause: String| {
             Error::new(Kind::BadSettings, format!("can't listen on {address}: {cause}"))
         };
-        let acceptor = TcpListener::new(address)
-            .try_bind()
-            .await
-            .map_err(|cause| refused(cause.to_string()))?;
+        let bound = TcpListener::new(address).try_bind().await;
+        let acceptor = bound.map_err(|cause| refused(cause.to_string()))?;
         let address = local_address(&acceptor).ok_or_else(|| refused("no local address".into()))?;
-        let server = Server::new(acceptor);
+        Ok(Socket { address, acceptor })
+    }
+
+    /// The address that was bound, with its real port.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves `router` from here on.
+    pub fn serve(self, router: Router) -> Listener {
+        let server = Server::new(self.acceptor);
         let handle = server.handle();
         let task = tokio::spawn(server.serve(router));
-        Ok(Listener { address, handle, task })
+        Listener { address: self.address, handle, task }
+    }
+}
+
+/// An address that serves a router until it is closed.
+pub struct Listener {
+    address: SocketAddr,
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl Listener {
+    /// Binds `address` and serves `router` there.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BadSettings`] when the address can't be bound.
+    pub async fn open(address: SocketAddr, router: Router) -> Result<Listener, Error> {
+        Ok(Socket::bind(address).await?.serve(router))
     }
 
     /// The address that was bound, with its real port.
