Load, check, compare and write declarations and nodes' files

rust-ini gives no line numbers and joins duplicates, and stops at its first error. A scan finds the lines, reports each line that can't be parsed and leaves it out of what the library sees, so all findings come in one run.

--- /dev/null
+++ b/components/settings/src/check_deployment.rs
@@ -0,0 +1,152 @@
+//! Checks a deployment as a whole.
+
+use crate::document::Document;
+use crate::read_deployment::LINK;
+use crate::schema::{self, locate, sections};
+use crate::{Deployment, Finding, Range, block};
+use std::sync::Arc;
+
+const MAX_REGIONS: usize = 64;
+
+/// A range of blocks that a site declares.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Claim<'a> {
+    range: Range,
+    site: &'a str,
+}
+
+/// The region names that a key may give, for findings.
+pub fn region_names(deployment: &Deployment) -> String {
+    let names: Vec<&str> = deployment.regions.iter().map(|region| &*region.name).collect();
+    format!("one of {}", names.join(", "))
+}
+
+/// Whether the deployment has the region, or none at all because its file can't be read.
+pub fn has_region(deployment: &Deployment, name: &str) -> bool {
+    let regions = &deployment.regions;
+    regions.is_empty() || regions.iter().any(|region| &*region.name == name)
+}
+
+/// Reports what contradicts something else in the deployment.
+pub fn check(document: &Document, deployment: &Deployment, findings: &mut Vec<Finding>) {
+    check_counts(document, deployment, findings);
+    check_domains(document, deployment, findings);
+    check_links(document, deployment, findings);
+    check_sites(document, deployment, findings);
+    for service in deployment.services.iter().filter(|each| each.connections < each.slots) {
+        let head = format!("service {}", service.name);
+        findings.push(Finding {
+            problem: format!("{} connections can't fill the slots", service.connections),
+            allowed: format!("at least the slots, {}", service.slots),
+            ..locate(document, &head, "connections")
+        });
+    }
+    if !has_region(deployment, &deployment.store_region) && !deployment.store_region.is_empty() {
+        let found = locate(document, "deployment", "store-region");
+        findings.push(unknown_region(found, &deployment.store_region, deployment));
+    }
+}
+
+fn check_counts(document: &Document, deployment: &Deployment, findings: &mut Vec<Finding>) {
+    let groups = [
+        (deployment.regions.is_empty(), "[region NAME]"),
+        (deployment.sites.is_empty(), "[site NAME]"),
+        (deployment.services.is_empty(), "[service NAME]"),
+    ];
+    let absent = groups.iter().filter(|(is_absent, _)| *is_absent);
+    findings.extend(absent.map(|(_, head)| schema::missing(document, head)));
+    if deployment.regions.len() > MAX_REGIONS {
+        findings.push(Finding {
+            file: document.file.clone(),
+            problem: format!("the file has {} regions", deployment.regions.len()),
+            allowed: format!("at most {MAX_REGIONS}"),
+            ..Finding::default()
+        });
+    }
+}
+
+fn check_domains(document: &Document, deployment: &Deployment, findings: &mut Vec<Finding>) {
+    let mut seen: Vec<&Arc<str>> = Vec::new();
+    for region in &deployment.regions {
+        for domain in &region.domains {
+            if seen.contains(&domain) && !region.domains.is_empty() {
+                let head = format!("region {}", region.name);
+                findings.push(Finding {
+                    problem: format!("failure domain `{domain}` is in another region too"),
+                    allowed: "each failure domain in one region".into(),
+                    ..locate(document, &head, "domains")
+                });
+            }
+        }
+        seen.extend(&region.domains);
+    }
+}
+
+fn check_links(document: &Document, deployment: &Deployment, findings: &mut Vec<Finding>) {
+    for section in sections(document, &LINK) {
+        for name in section.names.iter().filter(|name| !has_region(deployment, name)) {
+            let found = schema::at(document, section);
+            findings.push(unknown_region(found, name, deployment));
+        }
+        if section.names.first() == section.names.last() {
+            findings.push(Finding {
+                problem: "the link joins a region to itself".into(),
+                allowed: "two regions".into(),
+                ..schema::at(document, section)
+            });
+        }
+    }
+    let names: Vec<&str> = deployment.regions.iter().map(|region| &*region.name).collect();
+    for (index, from) in names.iter().enumerate() {
+        let later = names[index + 1..].iter().filter(|to| *to != from);
+        for to in later.filter(|to| !is_linked(deployment, from, to)) {
+            findings.push(Finding {
+                file: document.file.clone(),
+                problem: format!("no link joins `{from}` and `{to}`"),
+                allowed: format!("one [link {from} {to}] for each pair of regions"),
+                ..Finding::default()
+            });
+        }
+    }
+}
+
+fn is_linked(deployment: &Deployment, left: &str, right: &str) -> bool {
+    let mut ends = deployment.links.iter().map(|link| (&*link.from, &*link.to));
+    ends.any(|ends| ends == (left, right) || ends == (right, left))
+}
+
+fn check_sites(document: &Document, deployment: &Deployment, findings: &mut Vec<Finding>) {
+    let mut claims: Vec<Claim<'_>> = Vec::new();
+    for site in &deployment.sites {
+        let head = format!("site {}", site.name);
+        if !site.region.is_empty() && !has_region(deployment, &site.region) {
+            let found = locate(document, &head, "region");
+            findings.push(unknown_region(found, &site.region, deployment));
+        }
+        claims.extend(site.blocks.iter().map(|range| Claim { range: *range, site: &site.name }));
+    }
+    check_overlaps(document, claims, findings);
+}
+
+fn check_overlaps(document: &Document, mut claims: Vec<Claim<'_>>, findings: &mut Vec<Finding>) {
+    claims.sort();
+    let mut furthest: Option<Claim<'_>> = None;
+    for claim in claims {
+        if let Some(earlier) = furthest.filter(|earlier| earlier.range.last >= claim.range.first) {
+            let (left, right) = (block::format(claim.range), block::format(earlier.range));
+            findings.push(Finding {
+                problem: format!("`{left}` overlaps `{right}` of site `{}`", earlier.site),
+                allowed: "each block at one site, once".into(),
+                ..locate(document, &format!("site {}", claim.site), "blocks")
+            });
+        }
+        if furthest.is_none_or(|earlier| earlier.range.last < claim.range.last) {
+            furthest = Some(claim);
+        }
+    }
+}
+
+fn unknown_region(found: Finding, name: &str, deployment: &Deployment) -> Finding {
+    let problem = format!("region `{name}` is unknown");
+    Finding { problem, allowed: region_names(deployment), ..found }
+}
--- /dev/null
+++ b/components/settings/src/document.rs
@@ -0,0 +1,125 @@
+//! One parsed file: sections and keys with their lines.
+
+use crate::Finding;
+use crate::scan::{Scan, scan};
+use ini::{Ini, ParseOption, Properties};
+use std::collections::HashMap;
+
+/// One parsed file.
+#[derive(Debug)]
+pub struct Document {
+    /// The file's name.
+    pub file: String,
+    /// The sections, in the order of the file.
+    pub sections: Vec<Section>,
+}
+
+/// A section with the head `[kind name...]`.
+#[derive(Debug)]
+pub struct Section {
+    /// The head, with one space between its words.
+    pub head: String,
+    /// The head's first word.
+    pub kind: String,
+    /// The head's other words.
+    pub names: Vec<String>,
+    /// The head's line.
+    pub line: usize,
+    /// The keys, in the order of the file.
+    pub entries: Vec<Entry>,
+}
+
+/// A key and its value.
+#[derive(Debug)]
+pub struct Entry {
+    /// The key.
+    pub key: String,
+    /// The value, without spaces around it.
+    pub value: String,
+    /// The line.
+    pub line: usize,
+}
+
+/// Parses `text`; lines that can't be parsed become findings and the rest is still returned.
+///
+/// A file that exceeds `limit` bytes or can't be parsed at all becomes a finding and `None`.
+pub fn parse(
+    file: &str,
+    text: &str,
+    limit: usize,
+    findings: &mut Vec<Finding>,
+) -> Option<Document> {
+    if text.len() > limit {
+        findings.push(too_large(file, limit));
+        return None;
+    }
+    let mut scan = scan(file, text);
+    findings.append(&mut scan.findings);
+    let option =
+        ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+    match Ini::load_from_str_opt(&scan.clean, option) {
+        Ok(ini) => {
+            Some(Document { file: file.into(), sections: number(&ini, scan, file, findings) })
+        }
+        Err(error) => {
+            findings.push(Finding {
+                file: file.into(),
+                problem: error.to_string(),
+                allowed: "an INI file".into(),
+                ..Finding::default()
+            });
+            None
+        }
+    }
+}
+
+/// The finding for a file that exceeds `limit`.
+pub fn too_large(file: &str, limit: usize) -> Finding {
+    Finding {
+        file: file.into(),
+        problem: "the file is over its size limit".into(),
+        allowed: format!("at most {limit} bytes"),
+        ..Finding::default()
+    }
+}
+
+fn number(ini: &Ini, scan: Scan, file: &str, findings: &mut Vec<Finding>) -> Vec<Section> {
+    let mut sections: Vec<Section> = Vec::new();
+    let mut seen: HashMap<String, usize> = HashMap::new();
+    for lines in scan.sections {
+        if lines.head == 0 {
+            findings.extend(lines.keys.iter().map(|line| outside(file, *line)));
+            continue;
+        }
+        let earlier = seen.entry(lines.name.clone()).or_default();
+        let properties = ini.section_all(Some(lines.name.as_str())).nth(*earlier);
+        *earlier += 1;
+        let mut words = lines.name.split_whitespace().map(str::to_owned);
+        let head = lines.name.split_whitespace().collect::<Vec<&str>>().join(" ");
+        sections.push(Section {
+            kind: words.next().unwrap_or_default(),
+            names: words.collect(),
+            line: lines.head,
+            entries: properties.map(|found| entries(found, &lines.keys)).unwrap_or_default(),
+            head,
+        });
+    }
+    sections
+}
+
+fn entries(properties: &Properties, lines: &[usize]) -> Vec<Entry> {
+    let pairs = properties.iter().zip(lines);
+    pairs
+        .map(|((key, value), line)| Entry { key: key.into(), value: value.into(), line: *line })
+        .collect()
+}
+
+fn outside(file: &str, line: usize) -> Finding {
+    Finding {
+        file: file.into(),
+        line,
+        problem: "the key stands before any section".into(),
+        allowed: "keys below a section such as `[deployment]`".into(),
+        ..Finding::default()
+    }
+}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -2,17 +2,42 @@
 //!
 //! Every key, unit, default and bound is listed in docs/SETTINGS.md.
 
+pub mod block;
+mod change;
+mod check_deployment;
 mod deployment;
+mod document;
 mod drain;
+mod finding;
+pub mod instant;
+mod load;
+pub mod name;
 mod node;
 mod preset;
+mod read_deployment;
+mod read_drain;
+mod read_node;
+mod read_preset;
+mod reader;
+mod scan;
+mod schema;
 mod source;
+mod unit;
+mod write;
 
+pub use change::{Change, compare};
 pub use deployment::{Class, Deployment, Link, Range, Region, Service, Site};
 pub use drain::{Drain, Target};
+pub use finding::Finding;
+pub use load::{
+    DEPLOYMENT_FILE, DEPLOYMENT_LIMIT, DRAINS_FILE, NODE_LIMIT, OTHER_LIMIT, PRESETS_FILE, load,
+    load_node, parse, parse_node, read,
+};
 pub use node::Node;
-pub use preset::{Preset, Share};
+pub use preset::{ORDINARY, Preset, Share};
+pub use read_drain::problem as drain_problem;
 pub use source::Source;
+pub use write::write;
 
 use serde::{Deserialize, Serialize};
 
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -1,9 +1,11 @@
-use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// A node's own file: who it is and whom it talks to.
-#[derive(Clone, Serialize, Deserialize)]
+///
+/// It holds keys, so it is never serialised and its debug form leaves them out.
+#[derive(Clone)]
 pub struct Node {
     /// The VM's name, unique over its whole life.
     pub vm: Arc<str>,
@@ -32,3 +34,21 @@
     /// The most decision lines logged a second.
     pub log_rate: u32,
 }
+
+impl fmt::Debug for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Node")
+            .field("vm", &self.vm)
+            .field("domain", &self.domain)
+            .field("caller", &self.caller)
+            .field("relay", &self.relay)
+            .field("peer", &self.peer)
+            .field("operator", &self.operator)
+            .field("local", &self.local)
+            .field("platform", &self.platform)
+            .field("peers", &self.peers)
+            .field("log_level", &self.log_level)
+            .field("log_rate", &self.log_rate)
+            .finish_non_exhaustive()
+    }
+}
--- a/components/settings/src/preset.rs
+++ b/components/settings/src/preset.rs
@@ -2,6 +2,9 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+/// The preset that every declaration has and that is in force first.
+pub const ORDINARY: &str = "ordinary";
+
 /// A preset: how traffic is spread and how fast it may move.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Preset {
--- /dev/null
+++ b/components/settings/src/read_node.rs
@@ -0,0 +1,187 @@
+//! Reads and checks a node's own file.
+
+use crate::document::{Document, Section};
+use crate::reader::{Bounds, Reader, items};
+use crate::schema::{self, Kind, sections};
+use crate::unit::Unit;
+use crate::{Finding, Node};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+const NODE: Kind = Kind { word: "node", names: 0 };
+const LISTEN: Kind = Kind { word: "listen", names: 0 };
+const PLATFORM: Kind = Kind { word: "platform", names: 0 };
+const PEERS: Kind = Kind { word: "peers", names: 0 };
+const KEYS: Kind = Kind { word: "keys", names: 0 };
+const LOG: Kind = Kind { word: "log", names: 0 };
+
+const ADDRESS: &str = "an IP address and port such as 10.0.0.1:7001";
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+const DEFAULT_LEVEL: &str = "info";
+const RATE: Bounds = Bounds::new(Unit::Lines, 0, 1_000_000);
+const DEFAULT_RATE: u64 = 1_000;
+const KEY_MIN: usize = 32;
+const KEY_MAX: usize = 256;
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// Reads a node's file.
+pub fn read(document: &Document, findings: &mut Vec<Finding>) -> Node {
+    schema::check(document, &[NODE, LISTEN, PLATFORM, PEERS, KEYS, LOG], findings);
+    let mut node = empty();
+    with(document, &NODE, findings, |reader| {
+        node.vm = reader.word("vm");
+        node.domain = reader.word("domain");
+    });
+    with(document, &LISTEN, findings, |reader| read_listen(reader, &mut node));
+    with(document, &PLATFORM, findings, |reader| {
+        let entry = reader.required("addresses", ADDRESS);
+        node.platform = read_addresses(reader, entry);
+    });
+    with(document, &KEYS, findings, |reader| {
+        node.operator_key = read_key(reader, "operator-key");
+        node.peer_key = read_key(reader, "peer-key");
+    });
+    if let Some(section) = sections(document, &PEERS).next() {
+        let mut reader = Reader::new(&document.file, section, findings);
+        let entry = reader.optional("addresses");
+        node.peers = read_addresses(&mut reader, entry);
+        reader.close();
+    }
+    if let Some(section) = sections(document, &LOG).next() {
+        let mut reader = Reader::new(&document.file, section, findings);
+        node.log_level = read_level(&mut reader);
+        node.log_rate = reader.number_or("rate", RATE, DEFAULT_RATE) as u32;
+        reader.close();
+    }
+    check(document, &node, findings);
+    node
+}
+
+fn empty() -> Node {
+    Node {
+        vm: "".into(),
+        domain: "".into(),
+        caller: NOWHERE,
+        relay: NOWHERE,
+        peer: NOWHERE,
+        operator: NOWHERE,
+        local: NOWHERE,
+        platform: Vec::new(),
+        peers: Vec::new(),
+        operator_key: "".into(),
+        peer_key: "".into(),
+        log_level: DEFAULT_LEVEL.into(),
+        log_rate: DEFAULT_RATE as u32,
+    }
+}
+
+fn with<Read>(document: &Document, kind: &Kind, findings: &mut Vec<Finding>, read: Read)
+where
+    Read: FnOnce(&mut Reader<'_>),
+{
+    let Some(section) = sections(document, kind).next() else {
+        findings.push(schema::missing(document, &format!("[{}]", kind.word)));
+        return;
+    };
+    let mut reader = Reader::new(&document.file, section, findings);
+    read(&mut reader);
+    reader.close();
+}
+
+fn read_listen(reader: &mut Reader<'_>, node: &mut Node) {
+    node.caller = read_address(reader, "caller");
+    node.relay = read_address(reader, "relay");
+    node.peer = read_address(reader, "peer");
+    node.operator = read_address(reader, "operator");
+    node.local = read_address(reader, "local");
+}
+
+fn read_address(reader: &mut Reader<'_>, key: &str) -> SocketAddr {
+    let Some(entry) = reader.required(key, ADDRESS) else {
+        return NOWHERE;
+    };
+    entry.value.parse().unwrap_or_else(|_| {
+        reader.report(entry.line, key, format!("`{}` isn't an address", entry.value), ADDRESS);
+        NOWHERE
+    })
+}
+
+fn read_addresses(
+    reader: &mut Reader<'_>,
+    entry: Option<&crate::document::Entry>,
+) -> Vec<SocketAddr> {
+    let line = entry.map(|entry| entry.line).unwrap_or_default();
+    let mut addresses = Vec::new();
+    for text in items(entry) {
+        match text.parse() {
+            Ok(address) => addresses.push(address),
+            Err(_) => {
+                let problem = format!("`{text}` isn't an address");
+                reader.report(line, "addresses", problem, ADDRESS);
+            }
+        }
+    }
+    addresses
+}
+
+/// Findings on keys never hold the key itself.
+fn read_key(reader: &mut Reader<'_>, key: &str) -> Arc<str> {
+    let allowed = format!("{KEY_MIN} to {KEY_MAX} visible ASCII characters");
+    let Some(entry) = reader.required(key, &allowed) else {
+        return "".into();
+    };
+    if !(KEY_MIN..=KEY_MAX).contains(&entry.value.len()) {
+        let problem = format!("the key has {} characters", entry.value.len());
+        reader.report(entry.line, key, problem, &allowed);
+    }
+    if !entry.value.chars().all(|c| c.is_ascii_graphic()) {
+        reader.report(entry.line, key, "the key has other characters".into(), &allowed);
+    }
+    entry.value.as_str().into()
+}
+
+fn read_level(reader: &mut Reader<'_>) -> Arc<str> {
+    let Some(entry) = reader.optional("level") else {
+        return DEFAULT_LEVEL.into();
+    };
+    if !LEVELS.contains(&entry.value.as_str()) {
+        let problem = format!("`{}` isn't a level", entry.value);
+        reader.report(entry.line, "level", problem, &LEVELS.join(", "));
+    }
+    entry.value.as_str().into()
+}
+
+fn check(document: &Document, node: &Node, findings: &mut Vec<Finding>) {
+    let listen: Option<&Section> = sections(document, &LISTEN).next();
+    let mut report = |key: &str, problem: String, allowed: &str| {
+        if listen.is_some_and(|section| section.entries.iter().any(|entry| entry.key == key)) {
+            let found = schema::locate(document, "listen", key);
+            findings.push(Finding { problem, allowed: allowed.into(), ..found });
+        }
+    };
+    if node.local != NOWHERE && !node.local.ip().is_loopback() {
+        let problem = format!("`{}` can be reached from other machines", node.local);
+        report("local", problem, "a loopback address such as 127.0.0.1:7005");
+    }
+    let listeners = [
+        ("caller", node.caller),
+        ("relay", node.relay),
+        ("peer", node.peer),
+        ("operator", node.operator),
+        ("local", node.local),
+    ];
+    for (index, (key, address)) in listeners.iter().enumerate() {
+        let mut earlier = listeners[..index].iter();
+        if let Some((other, _)) = earlier.find(|(_, each)| each == address && each.port() != 0) {
+            let problem = format!("`{address}` is also the address of {other}");
+            report(key, problem, "an address of its own for each listener");
+        }
+    }
+    if node.operator_key == node.peer_key && !node.peer_key.is_empty() {
+        findings.push(Finding {
+            problem: "the key is also the operators' key".into(),
+            allowed: "a key of its own".into(),
+            ..schema::locate(document, "keys", "peer-key")
+        });
+    }
+}
--- /dev/null
+++ b/components/settings/src/scan.rs
@@ -0,0 +1,109 @@
+//! Finds the lines of sections and keys, which `rust-ini` doesn't report.
+//!
+//! The scan is stricter than the library: a line that is neither blank, a comment, a section nor
+//! `key = value` is a finding and is left out of what the library parses, so that one bad line
+//! hides no other.
+
+use crate::Finding;
+
+const LINE_SHAPE: &str = "`[kind name]`, `key = value`, or a comment that starts with `#` or `;`";
+const MAX_FINDINGS: usize = 200;
+
+/// Where the sections and keys of one file stand.
+#[derive(Debug, Default)]
+pub struct Scan {
+    /// The sections, in the order of the file.
+    pub sections: Vec<Lines>,
+    /// The file's text without the lines that can't be parsed.
+    pub clean: String,
+    /// The lines that can't be parsed.
+    pub findings: Vec<Finding>,
+}
+
+/// The lines of one section.
+#[derive(Debug, Default)]
+pub struct Lines {
+    /// The line of the section's head; zero for keys before any section.
+    pub head: usize,
+    /// The section's head, without brackets; empty for keys before any section.
+    pub name: String,
+    /// The lines of its keys, in the order of the file.
+    pub keys: Vec<usize>,
+}
+
+enum Line<'a> {
+    Nothing,
+    Head(&'a str),
+    Pair,
+    Bad,
+}
+
+/// Scans the text of `file`.
+pub fn scan(file: &str, text: &str) -> Scan {
+    let mut scan = Scan { sections: vec![Lines::default()], ..Scan::default() };
+    for (index, line) in text.lines().enumerate() {
+        scan.take(file, index + 1, line.trim());
+    }
+    scan
+}
+
+impl Scan {
+    fn take(&mut self, file: &str, number: usize, line: &str) {
+        match classify(line) {
+            Line::Nothing => {}
+            Line::Head(name) => {
+                let name = name.trim().to_owned();
+                self.sections.push(Lines { head: number, name, keys: Vec::new() });
+                self.keep(line);
+            }
+            Line::Pair => {
+                if let Some(section) = self.sections.last_mut() {
+                    section.keys.push(number);
+                }
+                self.keep(line);
+            }
+            Line::Bad if self.findings.len() < MAX_FINDINGS => {
+                let section = self.sections.last().map(|section| section.name.clone());
+                self.findings.push(Finding {
+                    file: file.into(),
+                    line: number,
+                    section: section.unwrap_or_default(),
+                    problem: "the line can't be parsed".into(),
+                    allowed: LINE_SHAPE.into(),
+                    ..Finding::default()
+                });
+            }
+            Line::Bad => {}
+        }
+    }
+
+    fn keep(&mut self, line: &str) {
+        self.clean.push_str(line);
+        self.clean.push('\n');
+    }
+}
+
+fn classify(line: &str) -> Line<'_> {
+    if line.is_empty() || line.starts_with(['#', ';']) {
+        return Line::Nothing;
+    }
+    // The library joins a line that ends in a backslash to the next one.
+    if line.ends_with('\\') {
+        return Line::Bad;
+    }
+    if let Some(name) = line.strip_prefix('[') {
+        return match name.strip_suffix(']') {
+            Some(name) if !name.contains(['[', ']']) => Line::Head(name),
+            _ => Line::Bad,
+        };
+    }
+    match line.split_once('=') {
+        Some((key, _)) if is_key(key.trim()) => Line::Pair,
+        _ => Line::Bad,
+    }
+}
+
+fn is_key(text: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '-' | '_');
+    !text.is_empty() && text.chars().all(allowed)
+}
--- /dev/null
+++ b/components/settings/src/schema.rs
@@ -0,0 +1,114 @@
+//! Which sections a file may hold, and how often.
+
+use crate::Finding;
+use crate::document::{Document, Section};
+use crate::name;
+
+/// A kind of section.
+pub struct Kind {
+    /// The first word of its head.
+    pub word: &'static str,
+    /// How many names follow.
+    pub names: usize,
+}
+
+/// Reports unknown kinds, heads with too few or too many names, malformed names and duplicates.
+pub fn check(document: &Document, kinds: &[Kind], findings: &mut Vec<Finding>) {
+    for (index, section) in document.sections.iter().enumerate() {
+        check_head(document, section, kinds, findings);
+        let earlier = document.sections[..index].iter().find(|other| is_same(other, section));
+        if let Some(first) = earlier {
+            findings.push(Finding {
+                problem: format!("the section stands twice, first on line {}", first.line),
+                allowed: "each section once".into(),
+                ..at(document, section)
+            });
+        }
+        check_keys(document, section, findings);
+    }
+}
+
+/// A finding on `section` as a whole, yet without its problem.
+pub fn at(document: &Document, section: &Section) -> Finding {
+    Finding {
+        file: document.file.clone(),
+        line: section.line,
+        section: section.head.clone(),
+        ..Finding::default()
+    }
+}
+
+/// The sections of `word` that have all their names.
+pub fn sections<'a>(document: &'a Document, kind: &Kind) -> impl Iterator<Item = &'a Section> {
+    let (word, names) = (kind.word, kind.names);
+    document.sections.iter().filter(move |each| each.kind == word && each.names.len() == names)
+}
+
+/// A finding on a key of the section with this head, yet without its problem.
+pub fn locate(document: &Document, head: &str, key: &str) -> Finding {
+    let Some(section) = document.sections.iter().find(|section| section.head == head) else {
+        return Finding { file: document.file.clone(), ..Finding::default() };
+    };
+    let entry = section.entries.iter().find(|entry| entry.key == key);
+    let line = entry.map_or(section.line, |entry| entry.line);
+    Finding { line, key: key.into(), ..at(document, section) }
+}
+
+/// A finding on a section that the file lacks.
+pub fn missing(document: &Document, head: &str) -> Finding {
+    Finding {
+        file: document.file.clone(),
+        problem: format!("no {head} section"),
+        allowed: format!("at least one {head}"),
+        ..Finding::default()
+    }
+}
+
+fn check_head(document: &Document, section: &Section, kinds: &[Kind], findings: &mut Vec<Finding>) {
+    let Some(kind) = kinds.iter().find(|kind| kind.word == section.kind) else {
+        let problem = "the section is unknown".into();
+        findings.push(Finding { problem, allowed: heads(kinds), ..at(document, section) });
+        return;
+    };
+    if kind.names != section.names.len() {
+        let problem = format!("the section has {} names", section.names.len());
+        findings.push(Finding { problem, allowed: head(kind), ..at(document, section) });
+    }
+    for each in section.names.iter().filter(|each| !name::is_valid(each)) {
+        let problem = format!("`{each}` isn't a name");
+        let allowed = name::ALLOWED.into();
+        findings.push(Finding { problem, allowed, ..at(document, section) });
+    }
+}
+
+fn check_keys(document: &Document, section: &Section, findings: &mut Vec<Finding>) {
+    for (index, entry) in section.entries.iter().enumerate() {
+        let mut earlier = section.entries[..index].iter();
+        if let Some(first) = earlier.find(|other| other.key == entry.key) {
+            findings.push(Finding {
+                line: entry.line,
+                key: entry.key.clone(),
+                problem: format!("the key stands twice, first on line {}", first.line),
+                allowed: "each key once".into(),
+                ..at(document, section)
+            });
+        }
+    }
+}
+
+/// Two sections are the same when their names are, in any order: a link has no direction.
+fn is_same(left: &Section, right: &Section) -> bool {
+    let mut lefts: Vec<&String> = left.names.iter().collect();
+    let mut rights: Vec<&String> = right.names.iter().collect();
+    lefts.sort();
+    rights.sort();
+    left.kind == right.kind && lefts == rights
+}
+
+fn heads(kinds: &[Kind]) -> String {
+    kinds.iter().map(head).collect::<Vec<String>>().join(", ")
+}
+
+fn head(kind: &Kind) -> String {
+    format!("[{}{}]", kind.word, " NAME".repeat(kind.names))
+}
