--- a/components/settings/src/block.rs
+++ b/components/settings/src/block.rs
@@ -48,16 +48,3 @@
 pub fn address(block: u32) -> Ipv4Addr {
     Ipv4Addr::from_bits(block << HOST_BITS)
 }
-
-/// Joins neighbouring ranges and sorts them; overlapping ranges must have been refused before.
-pub fn merge(mut ranges: Vec<Range>) -> Vec<Range> {
-    ranges.sort();
-    let mut merged: Vec<Range> = Vec::with_capacity(ranges.len());
-    for range in ranges {
-        match merged.last_mut() {
-            Some(last) if last.last + 1 == range.first => last.last = range.last,
-            _ => merged.push(range),
-        }
-    }
-    merged
-}
--- a/components/settings/src/read_deployment.rs
+++ b/components/settings/src/read_deployment.rs
@@ -113,6 +113,7 @@
     let region = reader.word("region");
     let delay = Millis(reader.number("delay", DELAY));
     let entry = reader.required("blocks", block::ALLOWED);
+    reader.check_filled("blocks", entry);
     let mut blocks: Vec<Range> = Vec::new();
     for text in items(entry) {
         match block::parse(text) {
--- a/components/settings/src/read_node.rs
+++ b/components/settings/src/read_node.rs
@@ -35,6 +35,7 @@
     with(document, &LISTEN, findings, |reader| read_listen(reader, &mut node));
     with(document, &PLATFORM, findings, |reader| {
         let entry = reader.required("addresses", ADDRESS);
+        reader.check_filled("addresses", entry);
         node.platform = read_addresses(reader, entry);
     });
     with(document, &KEYS, findings, |reader| {
--- a/components/settings/src/reader.rs
+++ b/components/settings/src/reader.rs
@@ -4,6 +4,7 @@
 use crate::document::{Entry, Section};
 use crate::name;
 use crate::unit::{self, Unit};
+use clock::Millis;
 use std::sync::Arc;
 
 /// The least and the greatest number that a key allows.
@@ -24,7 +25,11 @@
     }
 
     fn allowed(self) -> String {
-        format!("{} to {}", self.unit.write(self.least), self.unit.write(self.most))
+        let write = |number| match self.unit {
+            Unit::Time => unit::span(Millis(number)),
+            other => other.write(number),
+        };
+        format!("{} to {}", write(self.least), write(self.most))
     }
 }
 
@@ -78,6 +83,7 @@
     pub fn words(&mut self, key: &str) -> Vec<Arc<str>> {
         let entry = self.required(key, "names with commas between them");
         let line = entry.map(|entry| entry.line).unwrap_or_default();
+        self.check_filled(key, entry);
         let mut words: Vec<Arc<str>> = Vec::new();
         for word in items(entry) {
             self.check_name(key, line, word);
@@ -162,6 +168,14 @@
         }
     }
 
+    /// Reports a list without items.
+    pub fn check_filled(&mut self, key: &str, entry: Option<&Entry>) {
+        let empty = entry.filter(|entry| items(Some(entry)).next().is_none());
+        if let Some(entry) = empty {
+            self.report(entry.line, key, "the list is empty".into(), "at least one item");
+        }
+    }
+
     fn bounded(&mut self, key: &str, entry: &Entry, bounds: Bounds) -> u64 {
         let problem = match unit::number(&entry.value, bounds.unit) {
             Ok(value) if value < bounds.least => format!("`{}` is too small", entry.value),
--- a/components/settings/src/unit.rs
+++ b/components/settings/src/unit.rs
@@ -81,7 +81,8 @@
 ///
 /// What is wrong, in words.
 pub fn part(text: &str) -> Result<f64, String> {
-    let value: f64 = text.parse().map_err(|_| format!("`{text}` isn't a number"))?;
+    let parsed = text.parse().ok().filter(|value: &f64| !value.is_nan());
+    let value = parsed.ok_or_else(|| format!("`{text}` isn't a number"))?;
     if value < 0.0 {
         return Err(format!("`{text}` is negative"));
     }
--- a/components/settings/tests/declaration.rs
+++ b/components/settings/tests/declaration.rs
@@ -92,3 +92,21 @@
         prop_assert!(settings::parse(&source).is_err());
     }
 }
+
+#[test]
+fn a_file_over_its_size_limit_is_refused_before_it_is_parsed() {
+    let mut source = settings::read(&example("maalwerk")).unwrap();
+    source.presets.push_str(&"#".repeat(settings::OTHER_LIMIT));
+    let findings = settings::parse(&source).unwrap_err();
+    let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        lines,
+        ["presets.ini: the file is over its size limit; allowed: at most 262144 bytes"]
+    );
+}
+
+#[test]
+fn a_missing_directory_is_a_finding_for_each_file() {
+    let findings = settings::load(Path::new("no/such/directory")).unwrap_err();
+    assert_eq!(findings.len(), 3);
+}
