--- /dev/null
+++ b/components/control/src/agent.rs
@@ -0,0 +1,83 @@
+use crate::Roster;
+use crate::config::{Config, Platform};
+use crate::state::State;
+use peer::Transport;
+use peer::local::Issue;
+use peer::message::Record;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use steering::{Plan, Vm};
+use tokio::sync::{Notify, watch};
+
+/// The agent of one VM: its knowledge, and its answers to peers, operators and its `entryd`.
+///
+/// [`crate::Control`] runs its tasks.
+pub struct Agent {
+    pub(crate) config: Config,
+    pub(crate) platform: Platform,
+    pub(crate) transport: Arc<dyn Transport>,
+    pub(crate) snapshots: watch::Sender<Option<Issue>>,
+    pub(crate) changed: Notify,
+    pub(crate) fetch: Notify,
+    pub(crate) announce: Notify,
+    state: Mutex<State>,
+}
+
+impl Agent {
+    /// An agent that knows nothing yet.
+    pub fn new(config: Config, platform: Platform, transport: Arc<dyn Transport>) -> Agent {
+        let state = State {
+            roster: Roster::new(own_record(&config)),
+            installed: None,
+            plan: Arc::new(Plan::default()),
+            stamps: BTreeMap::new(),
+            ahead: BTreeMap::new(),
+            announcements: Vec::new(),
+            report: None,
+            loads: BTreeMap::new(),
+            lease: None,
+            platform_up: false,
+            random: SmallRng::seed_from_u64(config.seed),
+        };
+        Agent {
+            config,
+            platform,
+            transport,
+            snapshots: watch::channel(None).0,
+            changed: Notify::new(),
+            fetch: Notify::new(),
+            announce: Notify::new(),
+            state: Mutex::new(state),
+        }
+    }
+
+    /// The name of the agent's VM.
+    pub fn name(&self) -> Arc<str> {
+        Arc::clone(&self.config.node.vm)
+    }
+
+    /// The configuration version and the plan that the agent has installed.
+    pub fn stamp(&self) -> peer::message::Stamp {
+        self.state().stamp()
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn own_record(config: &Config) -> Record {
+    let node = &config.node;
+    let vm = Vm {
+        name: Arc::clone(&node.vm),
+        incarnation: 0,
+        domain: Arc::clone(&node.domain),
+        caller: node.caller,
+        relay: node.relay,
+        peer: node.peer,
+        state: steering::State::Live,
+    };
+    Record { vm, beat: config.incarnation }
+}
--- /dev/null
+++ b/components/control/src/handler.rs
@@ -0,0 +1,54 @@
+use crate::Agent;
+use crate::config::HEARTBEAT_TIMEOUT;
+use crate::heartbeat::Peer;
+use async_trait::async_trait;
+use errors::Kind;
+use peer::message::{Ask, Body};
+use peer::{Blob, Handler, Message, Reply};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+#[async_trait]
+impl Handler for Agent {
+    async fn handle(&self, message: Message) -> Reply {
+        let from = Arc::clone(&message.header.own.vm.name);
+        let origin = match &message.ask {
+            Ask::Push { origin } => Some(Arc::clone(origin)),
+            _ => None,
+        };
+        self.absorb(message.header, origin.as_ref());
+        let body = self.answer(&from, message.ask).await;
+        Reply { header: self.header(Some(&from)), body }
+    }
+}
+
+impl Agent {
+    async fn answer(&self, from: &Arc<str>, ask: Ask) -> Body {
+        match ask {
+            Ask::Heartbeat | Ask::Push { .. } => Body::Heard,
+            Ask::Probe { peer } => self.probe_for_other(peer).await,
+            Ask::Current => match &self.state().installed {
+                Some(installed) => Body::Current(installed.current.clone()),
+                None => Body::Refused(Kind::NotReady),
+            },
+            Ask::Declaration { digest } => match self.body_of(&digest) {
+                Some(body) => Body::Declaration(Blob(body)),
+                None => Body::Refused(Kind::NotReady),
+            },
+            Ask::Plan => Body::Plan(self.state().plan.as_ref().clone()),
+            Ask::Roster => Body::Roster(self.state().roster.records()),
+            Ask::Load(load) => {
+                self.state().loads.insert(Arc::clone(from), load);
+                Body::Heard
+            }
+        }
+    }
+
+    async fn probe_for_other(&self, address: SocketAddr) -> Body {
+        let peer = Peer { name: "".into(), address };
+        match self.ask(&peer, Ask::Heartbeat, HEARTBEAT_TIMEOUT).await {
+            Ok(_) => Body::Heard,
+            Err(_) => Body::Unreachable,
+        }
+    }
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -1,1 +1,30 @@
 //! The control plane's agent: heartbeats, configuration, planner and snapshots.
+//!
+//! Every VM runs the same agent. It keeps the roster of the fleet by heartbeats
+//! (docs/MEMBERSHIP.md), installs configurations and plans that are committed in the platform's
+//! table (docs/CONFIGURATION.md), may hold the planner's lease, and hands snapshots to its
+//! `entryd`.
+
+mod agent;
+mod bootstrap;
+mod config;
+mod control;
+mod fetch;
+mod gossip;
+mod handler;
+mod heartbeat;
+mod install;
+mod lease;
+mod local;
+mod poll;
+mod roster;
+mod rows;
+mod snapshot;
+pub mod spread;
+mod state;
+
+pub use agent::Agent;
+pub use config::{Config, Platform};
+pub use control::Control;
+pub use roster::Roster;
+pub use spread::Spread;
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -5,6 +5,7 @@
 //! number of membership changes. See docs/MEMBERSHIP.md.
 
 use crate::Blob;
+use crate::local::Demand;
 use clock::Millis;
 use errors::Kind;
 use serde::{Deserialize, Serialize};
@@ -41,10 +42,10 @@
 }
 
 /// What a node has and what it passes on.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Header {
-    /// The sender's VM.
-    pub from: Arc<str>,
+    /// The sender's statement about itself.
+    pub own: Record,
     /// The configuration version and the plan that the sender has installed.
     pub stamp: Stamp,
     /// Membership changes that are still being spread.
@@ -66,13 +67,14 @@
 
 /// One VM as the fleet sees it.
 ///
-/// Of two records of a VM the one with the greater (incarnation, beat, state) holds. Only the VM
-/// itself raises its beat, so a VM that is suspected wrongly clears itself with a higher one.
+/// Of two records of a VM the one with the greater (beat, state) holds. Only the VM itself raises
+/// its beat, so a VM that is suspected wrongly clears itself with a higher one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
     /// The VM, with its state.
     pub vm: Vm,
-    /// Rises with each statement of the VM about itself.
+    /// Starts at the time at which the VM's `controld` started, and rises with each change that
+    /// the VM states about itself.
     pub beat: u64,
 }
 
@@ -122,8 +124,8 @@
     pub epoch: u64,
     /// The sequence of the plan that the node's `entryd` enforces.
     pub sequence: u64,
-    /// Requests a second that the node was asked for, admitted or not.
-    pub rate: f64,
+    /// Requests a second that the node was asked for, admitted or not, by destination region.
+    pub demand: Vec<Demand>,
 }
 
 /// What a reply brings.
