--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use clock::{Clock, Millis};
 use daemon::Listener;
-use errors::{Error, Kind};
+use errors::Error;
 use platform::fake::Platform;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -50,9 +50,6 @@
     /// time that a request runs, in ms
     #[argh(option, default = "5")]
     service_ms: u64,
-    /// bytes of an answer
-    #[argh(option, default = "256")]
-    answer_bytes: u32,
 }
 
 #[tokio::main]
@@ -82,3 +79,10 @@
     let platform = Platform::new(Clock::system());
     Listener::open(options.listen, platform::standin::router(platform)).await
 }
+
+async fn open_upstream(options: UpstreamOptions) -> Result<Listener, Error> {
+    let shape =
+        Shape { slots: options.slots, service: Millis(options.service_ms), ..Shape::default() };
+    let server = Server::new(options.name.into(), Clock::system(), shape);
+    Listener::open(options.listen, Standin::new(Arc::new(server)).router()).await
+}
