--- a/components/steering/src/index.rs
+++ b/components/steering/src/index.rs
@@ -1,8 +1,9 @@
 use crate::geography::{delay, region_of};
-use crate::{Regions, Snapshot, State};
+use crate::{Regions, Snapshot, State, Vm};
 use clock::Millis;
 use settings::Target;
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -15,7 +16,8 @@
     blocks: Vec<BlockRange>,
     homes: Vec<u16>,
     vms: Vec<Entry>,
-    by_region: Vec<Vec<u16>>,
+    domains: Vec<Group>,
+    by_region: Vec<Range<usize>>,
     nearest: Vec<Vec<u16>>,
     names: Arc<[Arc<str>]>,
     region_drains: Vec<Vec<Window>>,
@@ -36,6 +38,18 @@
     pub drains: Vec<Window>,
 }
 
+/// The VMs of a failure domain.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Group {
+    /// The hashes of the VMs that are good to name at any time, kept apart from the VMs' numbers
+    /// because every look-up reads all hashes of a region and only the best one's number.
+    pub hashes: Vec<u64>,
+    /// The numbers of the VMs of `hashes`.
+    pub vms: Vec<u16>,
+    /// The numbers of all other VMs, which may be good at times.
+    pub others: Vec<u16>,
+}
+
 /// The time from a drain's start to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Window {
@@ -59,13 +73,6 @@
     site: u16,
 }
 
-/// A failure domain's number and its region's.
-#[derive(Clone, Copy)]
-struct Domain {
-    number: u16,
-    region: u16,
-}
-
 impl Index {
     /// Builds the structures for `snapshot`.
     ///
@@ -75,28 +82,16 @@
         let domains = number_domains(&snapshot);
         let names: Arc<[Arc<str>]> =
             deployment.regions.iter().map(|region| Arc::clone(&region.name)).collect();
-        let mut by_region = vec![Vec::new(); names.len()];
-        let mut vms = Vec::with_capacity(snapshot.vms.len());
-        for (number, vm) in snapshot.vms.iter().enumerate() {
-            let domain = domains.get(&vm.domain);
-            if let Some(domain) = domain {
-                by_region[usize::from(domain.region)].push(number as u16);
-            }
-            vms.push(Entry {
-                hash: xxh3_64(vm.name.as_bytes()),
-                domain: domain.map_or(u16::MAX, |domain| domain.number),
-                state: vm.state,
-                member: snapshot.plan.holds_share(&vm.name),
-                drains: drains_of_vm(&snapshot, &vm.name, &vm.domain),
-            });
-        }
+        let vms: Vec<Entry> =
+            snapshot.vms.iter().map(|vm| entry(&snapshot, &domains, vm)).collect();
         Index {
             blocks: sort_blocks(&snapshot),
             homes: number_homes(&snapshot, &names),
             nearest: (0..names.len()).map(|region| by_delay(&snapshot, &names, region)).collect(),
             region_drains: names.iter().map(|name| drains_of_region(&snapshot, name)).collect(),
+            domains: group(&vms, domains.len()),
+            by_region: domain_ranges(&snapshot),
             vms,
-            by_region,
             names,
             snapshot,
         }
@@ -150,20 +145,51 @@
         &self.vms[usize::from(vm)]
     }
 
-    pub(crate) fn vms_in(&self, region: u16) -> &[u16] {
-        &self.by_region[usize::from(region)]
+    pub(crate) fn domains_in(&self, region: u16) -> &[Group] {
+        &self.domains[self.by_region[usize::from(region)].clone()]
+    }
+}
+
+fn entry(snapshot: &Snapshot, domains: &BTreeMap<Arc<str>, u16>, vm: &Vm) -> Entry {
+    Entry {
+        hash: xxh3_64(vm.name.as_bytes()),
+        domain: domains.get(&vm.domain).copied().unwrap_or(u16::MAX),
+        state: vm.state,
+        member: snapshot.plan.holds_share(&vm.name),
+        drains: drains_of_vm(snapshot, &vm.name, &vm.domain),
     }
 }
 
-fn number_domains(snapshot: &Snapshot) -> BTreeMap<Arc<str>, Domain> {
-    let mut domains = BTreeMap::new();
-    for (region, declared) in snapshot.deployment.regions.iter().enumerate() {
-        for name in &declared.domains {
-            let number = domains.len() as u16;
-            domains.insert(Arc::clone(name), Domain { number, region: region as u16 });
+fn group(vms: &[Entry], domains: usize) -> Vec<Group> {
+    let mut groups = vec![Group::default(); domains];
+    for (number, vm) in vms.iter().enumerate() {
+        let Some(group) = groups.get_mut(usize::from(vm.domain)) else {
+            continue;
+        };
+        if vm.state == State::Live && vm.member && vm.drains.is_empty() {
+            group.hashes.push(vm.hash);
+            group.vms.push(number as u16);
+        } else {
+            group.others.push(number as u16);
         }
     }
-    domains
+    groups
+}
+
+fn domain_ranges(snapshot: &Snapshot) -> Vec<Range<usize>> {
+    let mut first = 0;
+    let mut next = |count: usize| {
+        let range = first..first + count;
+        first = range.end;
+        range
+    };
+    snapshot.deployment.regions.iter().map(|region| next(region.domains.len())).collect()
+}
+
+/// Numbers the failure domains so that those of a region are consecutive.
+fn number_domains(snapshot: &Snapshot) -> BTreeMap<Arc<str>, u16> {
+    let domains = snapshot.deployment.regions.iter().flat_map(|region| &region.domains);
+    domains.enumerate().map(|(number, name)| (Arc::clone(name), number as u16)).collect()
 }
 
 fn number_homes(snapshot: &Snapshot, names: &[Arc<str>]) -> Vec<u16> {
--- a/components/steering/src/lookup.rs
+++ b/components/steering/src/lookup.rs
@@ -1,4 +1,4 @@
-use crate::index::Entry;
+use crate::index::{Entry, Group};
 use crate::{Index, State};
 use clock::Millis;
 use errors::{Error, Kind};
@@ -38,6 +38,10 @@
         &self.vms[..usize::from(self.len)]
     }
 
+    fn is_full(&self) -> bool {
+        usize::from(self.len) == MAX_ENTRIES
+    }
+
     fn push(&mut self, vm: u16) {
         self.vms[usize::from(self.len)] = vm;
         self.len += 1;
@@ -89,54 +93,103 @@
 ) -> Result<Lookup, Error> {
     let site = index.site(block).ok_or_else(|| unknown(block))?;
     let key = xxh3_64_with_seed(service.as_bytes(), u64::from(block));
-    let mut entries = Entries::default();
-    let mut reason = None;
-    while usize::from(entries.len) < MAX_ENTRIES {
-        let Some(found) = next_entry(index, key, region, &entries, now) else {
-            break;
-        };
-        reason = reason.or(Some(found.reason));
-        entries.push(found.vm);
-    }
+    let mut ranking = Ranking { entries: Entries::default(), reason: None };
+    name_good(index, key, region, now, &mut ranking);
+    while !ranking.entries.is_full() && name_other(index, key, region, now, &mut ranking) {}
+    let Ranking { entries, reason } = ranking;
     let reason = reason.ok_or_else(|| Error::new(Kind::NotReady, "no entry VM is known"))?;
     Ok(Lookup { site, region, entries, reason, drain: first_drain(index, &entries, now) })
 }
 
-struct Found {
+/// A VM and its rank for one look-up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Scored {
+    score: u64,
     vm: u16,
-    reason: Reason,
 }
 
-fn next_entry(
-    index: &Index,
-    key: u64,
-    region: u16,
-    chosen: &Entries,
-    now: Millis,
-) -> Option<Found> {
+impl Scored {
+    const NONE: Scored = Scored { score: 0, vm: u16::MAX };
+}
+
+/// The entries named so far and why the first was chosen.
+struct Ranking {
+    entries: Entries,
+    reason: Option<Reason>,
+}
+
+impl Ranking {
+    fn push(&mut self, vm: u16, reason: Reason) {
+        self.entries.push(vm);
+        self.reason = self.reason.or(Some(reason));
+    }
+}
+
+/// Names the best VM of each failure domain, region by region, with one pass over the hashes.
+fn name_good(index: &Index, key: u64, region: u16, now: Millis, ranking: &mut Ranking) {
+    for candidate in index.nearest(region) {
+        let mut best = [Scored::NONE; MAX_ENTRIES];
+        for group in index.domains_in(*candidate) {
+            insert(&mut best, best_of(index, key, group, now));
+        }
+        for found in best.iter().filter(|found| **found != Scored::NONE) {
+            if ranking.entries.is_full() {
+                return;
+            }
+            ranking.push(found.vm, reason_of(Fitness::Good, *candidate == region));
+        }
+    }
+}
+
+fn best_of(index: &Index, key: u64, group: &Group, now: Millis) -> Scored {
+    let mut best = Scored::NONE;
+    for (hash, vm) in group.hashes.iter().zip(&group.vms) {
+        best = best.max(Scored { score: score(key, *hash), vm: *vm });
+    }
+    for vm in &group.others {
+        let entry = index.vm(*vm);
+        if fitness_of(entry, now) == Fitness::Good {
+            best = best.max(Scored { score: score(key, entry.hash), vm: *vm });
+        }
+    }
+    best
+}
+
+/// Keeps `best` sorted from the highest score down.
+fn insert(best: &mut [Scored; MAX_ENTRIES], found: Scored) {
+    let mut found = found;
+    for slot in best {
+        if found.score > slot.score {
+            std::mem::swap(slot, &mut found);
+        }
+    }
+}
+
+/// Names one more VM when the failure domains have no more good ones: first a second one of a
+/// domain that is named already, then by falling fitness.
+fn name_other(index: &Index, key: u64, region: u16, now: Millis, ranking: &mut Ranking) -> bool {
     for fitness in BY_FITNESS {
-        for apart in [true, false] {
-            for candidate in index.nearest(region) {
-                let fit = |vm: u16| {
-                    let entry = index.vm(vm);
-                    fitness_of(entry, now) == fitness
-                        && !chosen.as_slice().contains(&vm)
-                        && !(apart && shares_domain(index, entry, chosen))
-                };
-                if let Some(vm) = highest(index, key, *candidate, fit) {
-                    return Some(Found { vm, reason: reason_of(fitness, *candidate == region) });
-                }
+        for candidate in index.nearest(region) {
+            let fit = |vm: u16| {
+                fitness_of(index.vm(vm), now) == fitness
+                    && !ranking.entries.as_slice().contains(&vm)
+            };
+            if let Some(vm) = highest(index, key, *candidate, fit) {
+                ranking.push(vm, reason_of(fitness, *candidate == region));
+                return true;
             }
         }
     }
-    None
+    false
 }
 
 fn highest<Fit>(index: &Index, key: u64, region: u16, fit: Fit) -> Option<u16>
 where
     Fit: Fn(u16) -> bool,
 {
-    let candidates = index.vms_in(region).iter().copied().filter(|vm| fit(*vm));
+    let groups = index.domains_in(region).iter();
+    let vms = groups.flat_map(|group| group.vms.iter().chain(&group.others)).copied();
+    let candidates = vms.filter(|vm| fit(*vm));
     candidates.max_by_key(|vm| score(key, index.vm(*vm).hash))
 }
 
@@ -162,10 +215,6 @@
     }
 }
 
-fn shares_domain(index: &Index, entry: &Entry, chosen: &Entries) -> bool {
-    chosen.as_slice().iter().any(|vm| index.vm(*vm).domain == entry.domain)
-}
-
 fn reason_of(fitness: Fitness, in_region: bool) -> Reason {
     match fitness {
         Fitness::Good if in_region => Reason::Ranked,
