--- /dev/null
+++ b/components/steering/src/choice/ranked.rs
@@ -0,0 +1,106 @@
+use super::{Choice, Member, Pick, Pool, Reason, Task, Unavailable};
+use clock::Millis;
+use rand::{Rng, RngExt};
+use settings::Class;
+use std::sync::Arc;
+
+/// The policy in force: own slots first, then the upstream that should answer first.
+///
+/// An entry VM knows exactly what it has sent to the slots it owns, so it fills those before it
+/// borrows from others, where it would collide with requests that it can't see. Stragglers are
+/// set aside by comparison with their peers. See docs/CHOICE.md.
+#[derive(Debug, Default)]
+pub struct Ranked;
+
+impl Choice for Ranked {
+    fn name(&self) -> &'static str {
+        "ranked"
+    }
+
+    fn choose(
+        &mut self,
+        pool: &mut Pool,
+        task: &Task,
+        now: Millis,
+        rng: &mut dyn Rng,
+    ) -> Result<Pick, Unavailable> {
+        pool.compare(now);
+        let eligible = pool.eligible(task)?;
+        let (index, reason) = rank(pool, &eligible, task, now, rng);
+        let name = Arc::clone(&pool.members()[index].name);
+        Ok(Pick { index, name, reason })
+    }
+}
+
+fn rank(
+    pool: &Pool,
+    eligible: &[usize],
+    task: &Task,
+    now: Millis,
+    rng: &mut dyn Rng,
+) -> (usize, Reason) {
+    let members = pool.members();
+    if let Some(index) = due_probe(members, eligible, task, now) {
+        return (index, Reason::Probe);
+    }
+    let sound = |index: &usize| !members[*index].is_aside() && !members[*index].is_backed_off(now);
+    let good: Vec<usize> = eligible.iter().copied().filter(sound).collect();
+    let usual = pool.usual();
+    let own: Vec<usize> =
+        good.iter().copied().filter(|&at| has_own_slot(&members[at], now)).collect();
+    if let Some(index) = least(members, &own, usual, now, rng) {
+        return (index, Reason::OwnSlot);
+    }
+    if let Some(index) = least(members, &good, usual, now, rng) {
+        return (index, Reason::Borrowed);
+    }
+    let index = least(members, eligible, usual, now, rng).unwrap_or(eligible[0]);
+    (index, Reason::LastResort)
+}
+
+fn due_probe(members: &[Member], eligible: &[usize], task: &Task, now: Millis) -> Option<usize> {
+    if !task.repeatable || task.class == Class::Long || !task.tried.is_empty() {
+        return None;
+    }
+    let is_due = |member: &Member| member.aside.is_some_and(|aside| aside.is_due(now));
+    eligible.iter().copied().find(|&index| is_due(&members[index]))
+}
+
+fn has_own_slot(member: &Member, now: Millis) -> bool {
+    let slots = f64::from(member.own_slots) * member.ramp(now);
+    f64::from(member.in_flight()) < slots
+}
+
+/// The upstream that should answer first; ties are broken at random.
+fn least(
+    members: &[Member],
+    indices: &[usize],
+    usual: f64,
+    now: Millis,
+    rng: &mut dyn Rng,
+) -> Option<usize> {
+    let mut best = None;
+    let mut best_cost = f64::INFINITY;
+    let mut ties = 0;
+    for &index in indices {
+        let cost = cost(&members[index], usual, now);
+        if cost < best_cost {
+            best = Some(index);
+            best_cost = cost;
+            ties = 1;
+        } else if cost == best_cost {
+            ties += 1;
+            if rng.random_range(0..ties) == 0 {
+                best = Some(index);
+            }
+        }
+    }
+    best
+}
+
+/// The expected time to an answer in milliseconds, from this entry VM's own observations.
+fn cost(member: &Member, usual: f64, now: Millis) -> f64 {
+    let service = member.service_time(now).unwrap_or(usual).max(1.0);
+    let ahead = f64::from(member.in_flight()) / f64::from(member.own_slots.max(1));
+    member.round_trip.0 as f64 + service * (1.0 + ahead) / member.ramp(now)
+}
--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -3,8 +3,12 @@
 //! A decision takes a [`Snapshot`], an observation, the time and a seed, and returns its reason
 //! with the result, so that it can be logged and tested in virtual time. See docs/DESIGN.md.
 
+pub mod choice;
+pub mod class;
+pub mod hedge;
 pub mod limit;
 mod plan;
+pub mod retry;
 mod snapshot;
 
 pub use plan::{Member, Plan, Units, WHOLE};
