--- a/components/steering/src/choice/roster.rs
+++ b/components/steering/src/choice/roster.rs
@@ -1,5 +1,5 @@
 use super::slots;
-use crate::Snapshot;
+use crate::{Snapshot, delay, region_of};
 use clock::Millis;
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -17,8 +17,8 @@
 pub struct Entry {
     /// The VM's name.
     pub name: Arc<str>,
-    /// The index of its region; `None` if the deployment doesn't name its failure domain.
-    pub region: Option<usize>,
+    /// Its region; `None` if the deployment doesn't name its failure domain.
+    pub region: Option<Arc<str>>,
 }
 
 /// An upstream and what this entry VM may use of it.
@@ -48,7 +48,7 @@
 
 struct Place {
     domain: Arc<str>,
-    region: Option<usize>,
+    region: Option<Arc<str>>,
 }
 
 impl Roster {
@@ -95,13 +95,13 @@
 fn here(snapshot: &Snapshot, vm: &str) -> Place {
     let found = snapshot.vms.iter().find(|other| &*other.name == vm);
     let domain = found.map_or_else(|| Arc::from(""), |vm| Arc::clone(&vm.domain));
-    let region = region_of(snapshot, &domain);
+    let region = region_name(snapshot, &domain);
     Place { domain, region }
 }
 
-fn region_of(snapshot: &Snapshot, domain: &str) -> Option<usize> {
-    let regions = &snapshot.deployment.regions;
-    regions.iter().position(|region| region.domains.iter().any(|name| &**name == domain))
+fn region_name(snapshot: &Snapshot, domain: &str) -> Option<Arc<str>> {
+    let region = region_of(&snapshot.deployment, domain)?;
+    Some(Arc::clone(&region.name))
 }
 
 /// The entry VMs that take part: all that aren't leaving, and this one.
@@ -110,7 +110,7 @@
         |other: &&crate::Vm| other.state != crate::State::Leaving || &*other.name == vm;
     let entry = |other: &crate::Vm| Entry {
         name: Arc::clone(&other.name),
-        region: region_of(snapshot, &other.domain),
+        region: region_name(snapshot, &other.domain),
     };
     snapshot.vms.iter().filter(takes_part).map(entry).collect()
 }
@@ -120,18 +120,13 @@
     if &*here.domain == domain {
         return Millis::ZERO;
     }
-    let there = region_of(snapshot, domain);
-    if here.region == there {
-        return Millis(2 * deployment.domain_delay.0);
-    }
-    let name = |region: Option<usize>| region.map(|at| &*deployment.regions[at].name);
-    let (from, to) = (name(here.region), name(there));
-    let joins = |link: &&settings::Link| {
-        let ends = (Some(&*link.from), Some(&*link.to));
-        ends == (from, to) || ends == (to, from)
+    let there = region_name(snapshot, domain);
+    let one_way = match (&here.region, &there) {
+        (from, to) if from == to => deployment.domain_delay,
+        (Some(from), Some(to)) => delay(deployment, from, to),
+        _ => Millis::MAX,
     };
-    let link = deployment.links.iter().find(joins);
-    link.map_or(Millis::ZERO, |link| Millis(2 * link.delay.0))
+    one_way + one_way
 }
 
 /// The slots that the entry VM `vm` owns of each candidate.
@@ -146,16 +141,16 @@
     vm: &str,
     slots: u32,
 ) -> Vec<u32> {
-    let regions = candidates.iter().map(|c| region_of(snapshot, &c.upstream.domain));
-    let regions: Vec<Option<usize>> = regions.collect();
-    let staffed = |region: Option<usize>| entries.iter().any(|e| e.region == region);
+    let regions = candidates.iter().map(|c| region_name(snapshot, &c.upstream.domain));
+    let regions: Vec<Option<Arc<str>>> = regions.collect();
+    let staffed = |region: &Option<Arc<str>>| entries.iter().any(|e| e.region == *region);
     let near: Vec<&Entry> = entries.iter().filter(|e| e.region == here.region).collect();
     let all: Vec<&Entry> = entries.iter().collect();
     let in_use = |at: usize| candidates[at].upstream.state == crate::State::Live;
     let when = |at: usize, wanted: bool| if wanted && in_use(at) { slots } else { 0 };
     let local: Vec<u32> =
         (0..regions.len()).map(|at| when(at, regions[at] == here.region)).collect();
-    let orphan: Vec<u32> = (0..regions.len()).map(|at| when(at, !staffed(regions[at]))).collect();
+    let orphan: Vec<u32> = (0..regions.len()).map(|at| when(at, !staffed(&regions[at]))).collect();
     let from_local = own_part(&local, &near, vm);
     let from_orphan = own_part(&orphan, &all, vm);
     from_local.iter().zip(from_orphan).map(|(local, orphan)| local + orphan).collect()
@@ -204,8 +199,8 @@
     let wanted = (per_entry / CONNECTIONS_MIN as usize).max(UPSTREAMS_MIN.min(per_entry));
     let wanted = wanted.clamp(1, candidates.len());
     let connections = (per_entry / wanted).max(1) as u32;
-    let regions = candidates.iter().map(|c| region_of(snapshot, &c.upstream.domain));
-    let regions: Vec<Option<usize>> = regions.collect();
+    let regions = candidates.iter().map(|c| region_name(snapshot, &c.upstream.domain));
+    let regions: Vec<Option<Arc<str>>> = regions.collect();
     let mut left = vec![usable; candidates.len()];
     for entry in entries {
         let open = (0..candidates.len()).filter(|&at| left[at] >= connections);
--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -5,11 +5,23 @@
 
 pub mod choice;
 pub mod class;
+mod geography;
 pub mod hedge;
+mod index;
+pub mod lease;
 pub mod limit;
+mod lookup;
 mod plan;
+mod regions;
 pub mod retry;
+pub mod sample;
 mod snapshot;
+mod split;
 
-pub use plan::{Member, Plan, Units, WHOLE};
+pub use geography::{delay, region_of};
+pub use index::Index;
+pub use lookup::{Entries, LEASE_FLOOR, Lookup, MAX_ENTRIES, Reason, lookup};
+pub use plan::{Member, Plan, Segment, Split, Stamp, Units, WHOLE};
+pub use regions::Regions;
 pub use snapshot::{Snapshot, State, Upstream, Vm};
+pub use split::position;
