--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -3,13 +3,17 @@
 //! A decision takes a [`Snapshot`], an observation, the time and a seed, and returns its reason
 //! with the result, so that it can be logged and tested in virtual time. See docs/DESIGN.md.
 
+pub mod choice;
+pub mod class;
 mod geography;
+pub mod hedge;
 mod index;
 pub mod lease;
 pub mod limit;
 mod lookup;
 mod plan;
 mod regions;
+pub mod retry;
 pub mod sample;
 mod snapshot;
 mod split;
