Log decisions as JSON lines behind a bounded queue, and render metrics

A thread writes the lines; a full queue drops a line, counts it, and says so before the next line written. Decision lines have a rate of their own, and what it leaves out is counted and said.

log4rs's ConsoleAppender writes on the caller's thread, so it was ruled out; the appender here encodes with log4rs's JsonEncoder and never waits.

--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,1 +1,18 @@
 //! Structured logs and metrics.
+//!
+//! Logs are JSON lines on standard output, written by a thread of their own behind a bounded
+//! queue, so that a slow reader of the log never delays a request. Metrics are rendered in the
+//! Prometheus text format. Keys must never be passed to either. See docs/OPERATORS.md, "Logs".
+
+mod decision;
+mod limiter;
+mod logging;
+pub mod names;
+mod queue;
+mod recorder;
+
+pub use decision::{Action, Decision, decide};
+pub use limiter::{Admission, Limiter};
+pub use logging::{Log, Options, install, install_to};
+pub use queue::{Queue, Writer};
+pub use recorder::{install_recorder, render, upkeep};
--- /dev/null
+++ b/components/telemetry/src/names.rs
@@ -0,0 +1,109 @@
+//! The names of metrics and their labels.
+//!
+//! Each metric is described for operators in docs/OPERATORS.md, "Metrics".
+
+use metrics::{Unit, describe_counter, describe_gauge, describe_histogram};
+
+/// Requests answered, by service and outcome.
+pub const REQUESTS: &str = "heatherbend_requests_total";
+/// Time from a request's arrival to the end of its answer, by service.
+pub const LATENCY: &str = "heatherbend_request_seconds";
+/// Requests in flight, by service.
+pub const IN_FLIGHT: &str = "heatherbend_requests_in_flight";
+/// Refusals, by kind of error.
+pub const REFUSALS: &str = "heatherbend_refusals_total";
+/// Look-ups answered, by reason.
+pub const LOOKUPS: &str = "heatherbend_lookups_total";
+/// Decisions, by action.
+pub const DECISIONS: &str = "heatherbend_decisions_total";
+/// Requests sent again, by service.
+pub const RETRIES: &str = "heatherbend_retries_total";
+/// Requests sent to a second upstream, by service and whether the second won.
+pub const HEDGES: &str = "heatherbend_hedges_total";
+/// Downloads resumed on another upstream, by service.
+pub const RESUMPTIONS: &str = "heatherbend_resumptions_total";
+/// Orders, by outcome of their claim.
+pub const ORDERS: &str = "heatherbend_orders_total";
+/// Leases given to callers, in seconds.
+pub const LEASE: &str = "heatherbend_lease_seconds";
+/// What this node may send a second, by limit and destination.
+pub const LIMIT: &str = "heatherbend_limit_per_second";
+/// What this node sent, by limit and destination.
+pub const LIMIT_USED: &str = "heatherbend_limit_used_total";
+/// The configuration version in force at this node.
+pub const VERSION: &str = "heatherbend_configuration_version";
+/// The epoch of the plan in force at this node.
+pub const PLAN_EPOCH: &str = "heatherbend_plan_epoch";
+/// The sequence of the plan in force at this node.
+pub const PLAN_SEQUENCE: &str = "heatherbend_plan_sequence";
+/// 1 at the node that holds the planner's lease, 0 elsewhere.
+pub const PLANNER: &str = "heatherbend_planner";
+/// Time since a source was last heard, by source.
+pub const LAG: &str = "heatherbend_lag_seconds";
+/// Operations on the platform, by operation and outcome.
+pub const PLATFORM: &str = "heatherbend_platform_operations_total";
+/// Upstreams known, by service and state.
+pub const UPSTREAMS: &str = "heatherbend_upstreams";
+/// Entry VMs known, by state.
+pub const VMS: &str = "heatherbend_entry_vms";
+/// Bytes sent to peers.
+pub const PEER_BYTES: &str = "heatherbend_peer_bytes_total";
+/// Acts of operators, by act and outcome.
+pub const ACTS: &str = "heatherbend_operator_acts_total";
+/// Connections refused for a wrong key, by listener.
+pub const UNAUTHORIZED: &str = "heatherbend_unauthorized_total";
+/// Log lines dropped because the queue was full.
+pub const LOG_DROPPED: &str = "heatherbend_log_dropped_total";
+/// Decision lines left out because of the rate.
+pub const LOG_SUPPRESSED: &str = "heatherbend_log_suppressed_total";
+
+/// Label: the service.
+pub const SERVICE: &str = "service";
+/// Label: how something ended.
+pub const OUTCOME: &str = "outcome";
+/// Label: the kind of error.
+pub const KIND: &str = "kind";
+/// Label: what was decided.
+pub const ACTION: &str = "action";
+/// Label: why.
+pub const REASON: &str = "reason";
+/// Label: which limit.
+pub const LIMIT_KIND: &str = "limit";
+/// Label: the region or link that a limit protects.
+pub const DESTINATION: &str = "destination";
+/// Label: whom something was heard from.
+pub const SOURCE: &str = "source";
+/// Label: the state of a machine.
+pub const STATE: &str = "state";
+/// Label: the listener.
+pub const LISTENER: &str = "listener";
+
+/// Describes every metric to the recorder.
+pub fn describe() {
+    describe_counter!(REQUESTS, "Requests answered, by service and outcome");
+    describe_histogram!(LATENCY, Unit::Seconds, "Time from arrival to the answer's end");
+    describe_gauge!(IN_FLIGHT, "Requests in flight, by service");
+    describe_counter!(REFUSALS, "Refusals, by kind of error");
+    describe_counter!(LOOKUPS, "Look-ups answered, by reason");
+    describe_counter!(DECISIONS, "Decisions, by action");
+    describe_counter!(RETRIES, "Requests sent again, by service");
+    describe_counter!(HEDGES, "Requests sent to a second upstream");
+    describe_counter!(RESUMPTIONS, "Downloads resumed on another upstream");
+    describe_counter!(ORDERS, "Orders, by outcome of their claim");
+    describe_histogram!(LEASE, Unit::Seconds, "Leases given to callers");
+    describe_gauge!(LIMIT, "What this node may send a second, by limit and destination");
+    describe_counter!(LIMIT_USED, "What this node sent, by limit and destination");
+    describe_gauge!(VERSION, "The configuration version in force at this node");
+    describe_gauge!(PLAN_EPOCH, "The epoch of the plan in force at this node");
+    describe_gauge!(PLAN_SEQUENCE, "The sequence of the plan in force at this node");
+    describe_gauge!(PLANNER, "1 at the node that holds the planner's lease, 0 elsewhere");
+    describe_gauge!(LAG, Unit::Seconds, "Time since a source was last heard");
+    describe_counter!(PLATFORM, "Operations on the platform, by operation and outcome");
+    describe_gauge!(UPSTREAMS, "Upstreams known, by service and state");
+    describe_gauge!(VMS, "Entry VMs known, by state");
+    describe_counter!(PEER_BYTES, Unit::Bytes, "Bytes sent to peers");
+    describe_counter!(ACTS, "Acts of operators, by act and outcome");
+    describe_counter!(UNAUTHORIZED, "Connections refused for a wrong key");
+    describe_counter!(LOG_DROPPED, "Log lines dropped because the queue was full");
+    describe_counter!(LOG_SUPPRESSED, "Decision lines left out because of the rate");
+}
