Plan shares that never sum above a cap, and shifts that each node paces itself

Every member's units of a cap are planned; what a silent node may still believe it holds stays counted until it acknowledges or leaves the platform's list. A node shifts its own traffic in slabs under its own part of the shift cap, from where it serves the traffic itself, so neither an old plan nor an absent planner can exceed the cap.

--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -3,15 +3,20 @@
 //! A decision takes a [`Snapshot`], an observation, the time and a seed, and returns its reason
 //! with the result, so that it can be logged and tested in virtual time. See docs/DESIGN.md.
 
+mod allot;
 mod geography;
 mod index;
 pub mod lease;
 mod lookup;
 mod plan;
+pub mod planner;
 mod regions;
 pub mod sample;
+pub mod share;
+pub mod shift;
 mod snapshot;
 mod split;
+pub mod weights;
 
 pub use geography::{delay, region_of};
 pub use index::Index;
--- a/components/steering/src/plan.rs
+++ b/components/steering/src/plan.rs
@@ -102,6 +102,11 @@
         self.member(name).is_some_and(|member| member.home.share > 0)
     }
 
+    /// The name of the region of this number.
+    pub fn region_name(&self, region: u16) -> Option<&Arc<str>> {
+        self.regions.get(usize::from(region))
+    }
+
     /// Whether the shift has ended at every node that reports.
     pub fn is_settled(&self) -> bool {
         self.settled >= WHOLE
--- /dev/null
+++ b/components/steering/src/planner.rs
@@ -0,0 +1,229 @@
+//! The planner: from the plan in force and what is seen, the next plan, if one is needed.
+//!
+//! It decides nothing that a node must wait for: shares hold under any partition, and shifts go on
+//! while no planner runs. See docs/LIMITS.md and docs/SHIFTS.md.
+
+use crate::allot::allot;
+use crate::weights::{split, weights};
+use crate::{Member, Plan, Segment, Split, Stamp, State, WHOLE};
+use clock::Millis;
+use settings::{Deployment, Drain, Preset};
+use std::sync::Arc;
+
+/// The least time between two plans that differ only in shares.
+const SHARE_INTERVAL: Millis = Millis::from_secs(2);
+
+/// How far a shift must have come before the plan says so, for nodes that start meanwhile.
+const SETTLED_STEP: u32 = WHOLE / 8;
+
+/// The most segments of a mixed assignment; a further change waits until the shift has ended.
+const MAX_SEGMENTS: usize = 8;
+
+/// Steps added to a drain's lead for the planner, the spread of the plan and the last slab.
+const SPARE_STEPS: u64 = 5;
+
+/// By how many times a shift before a drain may take longer than one under a full cap.
+const LEAD_FACTOR: u64 = 2;
+
+/// What the planner sees.
+#[derive(Clone, Copy, Debug)]
+pub struct Input<'a> {
+    /// The configuration version in force.
+    pub version: u64,
+    /// Regions, links and sites.
+    pub deployment: &'a Deployment,
+    /// The preset in force.
+    pub preset: &'a Preset,
+    /// Planned drains.
+    pub drains: &'a [Drain],
+    /// One report for each entry VM that the platform's list shows or a peer hears.
+    ///
+    /// A member without a report is gone for good and its share is free again, so a VM that is
+    /// only silent must be reported, as [`State::Suspect`].
+    pub reports: &'a [Report],
+    /// The epoch of the planner's lease.
+    pub epoch: u64,
+    /// The time.
+    pub now: Millis,
+    /// When the plan in force was made; zero if unknown.
+    pub changed: Millis,
+}
+
+/// An entry VM as the planner sees it.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// The VM's name.
+    pub vm: Arc<str>,
+    /// The number of its region in the deployment.
+    pub region: u16,
+    /// Whether it takes new work.
+    pub state: State,
+    /// The plan it last said it holds; `None` if it never did.
+    pub ack: Option<Ack>,
+    /// What its callers ask for.
+    pub demand: Demand,
+}
+
+/// A node's word on the plan that it holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ack {
+    /// The plan it holds; it will never again use an earlier one.
+    pub stamp: Stamp,
+    /// The number of that plan's shift.
+    pub shift: u64,
+    /// How much of that shift it has done, in units of [`WHOLE`].
+    pub settled: u32,
+}
+
+/// Requests a second that a VM's callers ask for, admitted or not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Those served in the VM's own region.
+    pub home: u32,
+    /// Those served in any other region.
+    pub away: u32,
+}
+
+/// The plan that is to follow `old`, or `None` if nothing has to change.
+///
+/// The caller commits it in a transaction that reads both the epoch and `old`, so that every plan
+/// was made from the one before it.
+pub fn next(old: &Plan, input: &Input<'_>) -> Option<Plan> {
+    let old_here = renumbered(old, input.deployment);
+    let regions = input.deployment.regions.len();
+    let shift = next_shift(&old_here, input);
+    let urgent = shift.is_some() || old_here.regions != old.regions;
+    let due = input.now - input.changed >= SHARE_INTERVAL;
+    let members = if urgent || due { allot(&old_here, input.reports, regions) } else { None };
+    if !urgent && members.is_none() {
+        return None;
+    }
+    let mut plan = shift.unwrap_or_else(|| old_here.clone());
+    plan.version = input.version;
+    plan.sequence = if input.epoch > old.epoch { 1 } else { old.sequence + 1 };
+    plan.epoch = input.epoch.max(old.epoch);
+    plan.members = members.unwrap_or_else(|| carried(&old_here, input.reports));
+    Some(plan)
+}
+
+/// The members when no share changes: what a VM held before, it may hold until it acknowledges.
+fn carried(old: &Plan, reports: &[Report]) -> Vec<Member> {
+    let carry = |member: &Member| {
+        let report = reports.iter().find(|report| report.vm == member.vm);
+        let ack = report.and_then(|report| report.ack);
+        let mut member = member.clone();
+        if ack.is_some_and(|ack| ack.stamp >= old.stamp()) {
+            member.home.held = member.home.share;
+            member.away.held = member.away.share;
+        }
+        member
+    };
+    old.members.iter().map(carry).collect()
+}
+
+/// `old` with its rows and members in the order of the deployment's regions.
+fn renumbered(old: &Plan, deployment: &Deployment) -> Plan {
+    let names: Vec<Arc<str>> = deployment.regions.iter().map(|r| Arc::clone(&r.name)).collect();
+    if old.regions == names {
+        return old.clone();
+    }
+    let mut plan = old.clone();
+    for segment in &mut plan.from {
+        segment.split = segment.split.renumber(&old.regions, &names);
+    }
+    if !old.from.is_empty() {
+        plan.to = old.to.renumber(&old.regions, &names);
+    }
+    for member in &mut plan.members {
+        let name = old.region_name(member.region);
+        let at = names.iter().position(|region| Some(region) == name);
+        member.region = at.map_or(u16::MAX, |at| at as u16);
+    }
+    plan.regions = names;
+    plan
+}
+
+/// The plan with its shift started, advanced or ended; `None` if the shift stays as it is.
+fn next_shift(old: &Plan, input: &Input<'_>) -> Option<Plan> {
+    let done = done(old, input.reports);
+    if let Some(wanted) = wanted(old, input) {
+        return start(old, wanted, done);
+    }
+    if old.is_settled() || (done < WHOLE && done < old.settled.saturating_add(SETTLED_STEP)) {
+        return None;
+    }
+    let mut plan = old.clone();
+    plan.settled = done;
+    if plan.is_settled() {
+        plan.from = vec![Segment { until: WHOLE, split: plan.to.clone() }];
+    }
+    Some(plan)
+}
+
+fn start(old: &Plan, wanted: Split, done: u32) -> Option<Plan> {
+    let mut plan = old.clone();
+    plan.shift += 1;
+    plan.settled = 0;
+    if old.from.is_empty() {
+        plan.from = vec![Segment { until: WHOLE, split: wanted.clone() }];
+        plan.settled = WHOLE;
+    } else if !old.is_settled() {
+        plan.from = mixture(old, done.max(old.settled));
+    }
+    plan.to = wanted;
+    (plan.from.len() <= MAX_SEGMENTS).then_some(plan)
+}
+
+/// Where each position is served when the shift has come as far as `settled`.
+fn mixture(old: &Plan, settled: u32) -> Vec<Segment> {
+    let mut mixed = Vec::new();
+    if settled > 0 {
+        mixed.push(Segment { until: settled, split: old.to.clone() });
+    }
+    mixed.extend(old.from.iter().filter(|segment| segment.until > settled).cloned());
+    mixed.dedup_by(|later, earlier| {
+        let same = later.split == earlier.split;
+        earlier.until = if same { later.until } else { earlier.until };
+        same
+    });
+    mixed
+}
+
+/// How far the shift has come at every node that reports.
+fn done(old: &Plan, reports: &[Report]) -> u32 {
+    let live = reports.iter().filter(|report| report.state == State::Live);
+    let members = live.filter(|report| old.member(&report.vm).is_some());
+    let settled = |report: &Report| {
+        let ack = report.ack.filter(|ack| ack.shift == old.shift);
+        ack.map_or(0, |ack| ack.settled)
+    };
+    members.map(settled).min().unwrap_or(0)
+}
+
+/// The split that traffic is to be shifted to, unless it is the plan's already.
+///
+/// A drain counts from its lead before its start, and a shift for it isn't undone while it is
+/// within twice the lead, so that a small change of demand doesn't move traffic to and fro.
+fn wanted(old: &Plan, input: &Input<'_>) -> Option<Split> {
+    let lead = lead(input);
+    let near = split_at(input, lead);
+    let far = split_at(input, lead + lead);
+    (old.to != near && old.to != far).then_some(near)
+}
+
+/// The split for the drains that are in force or start within `ahead`.
+fn split_at(input: &Input<'_>, ahead: Millis) -> Split {
+    let due = |drain: &&Drain| drain.start <= input.now + ahead && input.now < drain.end;
+    let begun = |drain: &Drain| Drain { start: drain.start.min(input.now), ..drain.clone() };
+    let drains: Vec<Drain> = input.drains.iter().filter(due).map(begun).collect();
+    split(input.deployment, &weights(input.deployment, input.preset, &drains, input.now))
+}
+
+/// How long before its start a drain's traffic begins to move, as if all traffic had to move to
+/// one region.
+fn lead(input: &Input<'_>) -> Millis {
+    let demand = |report: &Report| u64::from(report.demand.home) + u64::from(report.demand.away);
+    let total: u64 = input.reports.iter().map(demand).sum();
+    let steps = total / u64::from(input.preset.shift_cap.max(1)) + 1;
+    Millis((LEAD_FACTOR * steps + SPARE_STEPS) * input.preset.shift_step.0)
+}
--- a/components/steering/src/regions.rs
+++ b/components/steering/src/regions.rs
@@ -18,6 +18,11 @@
         Regions(self.0 | other.0)
     }
 
+    /// Whether every region of `other` is in the set.
+    pub const fn includes(self, other: Regions) -> bool {
+        self.0 & other.0 == other.0
+    }
+
     /// Whether `region` is in the set.
     pub const fn contains(self, region: u16) -> bool {
         self.0 & bit(region) != 0
--- /dev/null
+++ b/components/steering/src/shift.rs
@@ -0,0 +1,315 @@
+//! How a node moves its traffic from where it is served to where the plan wants it.
+//!
+//! Each node moves its own traffic in slabs of positions, under its own share of the shift cap,
+//! from where it serves the traffic itself. So the cap holds whatever plan a node holds, and a
+//! shift goes on while the planner is away. See docs/SHIFTS.md.
+
+use crate::{Plan, Regions, Split, WHOLE, position};
+use clock::Millis;
+use std::sync::Arc;
+
+/// Bits of a fine position that tell the requests of one position apart.
+const DRAW_BITS: u32 = 32;
+
+/// The fine position after the last.
+const END: u64 = (WHOLE as u64) << DRAW_BITS;
+
+/// The part of the limit that the next slab is meant to use, so that bursts fit too.
+const FILL: f64 = 0.7;
+
+/// The most by which a slab grows from one step to the next.
+const GROWTH: f64 = 4.0;
+
+/// The most changes of target that may be mixed before a shift has to end.
+const MAX_SEGMENTS: usize = 8;
+
+const SECOND: Millis = Millis::from_secs(1);
+
+/// What one node knows of its own traffic's shift.
+#[derive(Clone, Debug)]
+pub struct Shift {
+    regions: Arc<[Arc<str>]>,
+    base: Vec<Track>,
+    target: Aim,
+    wanted: Aim,
+    settled: u64,
+    progress: u64,
+    slab: u64,
+    step: Step,
+    demand: Demand,
+    limits: Vec<u32>,
+}
+
+/// Where a request is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// To a region that serves this position already.
+    Stay(u16),
+    /// To `to` if the shift limiter admits it there; else to `old`, if that can still serve.
+    Move {
+        /// The region that is to serve the position.
+        to: u16,
+        /// The region that serves it until then; `None` if it is lost.
+        old: Option<u16>,
+    },
+    /// Nowhere yet: the region that served the position is lost and its turn to move hasn't come.
+    Held,
+    /// Nowhere: every region is lost.
+    Lost,
+}
+
+/// What the rest of the node tells a shift at each tick.
+#[derive(Clone, Copy, Debug)]
+pub struct Tick<'a> {
+    /// The plan in force at this node.
+    pub plan: &'a Plan,
+    /// The names of the deployment's regions, in its order.
+    pub regions: &'a Arc<[Arc<str>]>,
+    /// Regions that are drained or can't be reached.
+    pub down: Regions,
+    /// The node's shift limit into each region, in requests a second.
+    pub limits: &'a [u32],
+    /// How long a slab must serve before the next one moves.
+    pub step: Millis,
+    /// The time.
+    pub now: Millis,
+}
+
+/// A split and the regions left out of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Aim {
+    split: Split,
+    lost: Regions,
+}
+
+/// A run of fine positions and where it is served.
+#[derive(Clone, Debug)]
+struct Track {
+    until: u64,
+    aim: Aim,
+}
+
+/// What happened to the slab since the step began.
+#[derive(Clone, Debug)]
+struct Step {
+    start: Millis,
+    second: Millis,
+    attempts: Vec<u32>,
+    peak: f64,
+    deferred: bool,
+}
+
+/// The node's requests, counted by second.
+#[derive(Clone, Debug, Default)]
+struct Demand {
+    second: Millis,
+    current: u32,
+    last: u32,
+}
+
+impl Shift {
+    /// The state of a node that has just started and moved nothing itself.
+    pub fn new(tick: &Tick<'_>) -> Shift {
+        let renumber = |split: &Split| split.renumber(&tick.plan.regions, tick.regions);
+        let track = |segment: &crate::Segment| Track {
+            until: fine(segment.until),
+            aim: Aim { split: renumber(&segment.split), lost: Regions::NONE },
+        };
+        let target = Aim { split: renumber(&tick.plan.to), lost: Regions::NONE };
+        let settled = fine(tick.plan.settled);
+        Shift {
+            regions: Arc::clone(tick.regions),
+            base: tick.plan.from.iter().map(track).collect(),
+            wanted: target.clone(),
+            target,
+            settled,
+            progress: settled,
+            slab: 0,
+            step: Step::new(tick.now, tick.regions.len()),
+            demand: Demand::default(),
+            limits: tick.limits.to_vec(),
+        }
+    }
+
+    /// Where a request of `block` of region `home` is sent.
+    ///
+    /// `draw` tells the requests of one block apart, so that a block too large for the cap moves
+    /// in parts; any hash of the request's id serves.
+    pub fn route(&self, home: u16, block: u32, draw: u32) -> Route {
+        let at = fine(position(block)) | u64::from(draw);
+        let Some(new) = self.target.region(home, block) else {
+            return Route::Lost;
+        };
+        if at < self.settled {
+            return Route::Stay(new);
+        }
+        match self.old(at, home, block) {
+            Some(old) if old == new || at >= self.progress => Route::Stay(old),
+            old if at < self.progress => Route::Move { to: new, old },
+            _ => Route::Held,
+        }
+    }
+
+    /// The region in which look-ups name entry VMs for `block`.
+    pub fn serving(&self, home: u16, block: u32) -> u16 {
+        match self.route(home, block, 0) {
+            Route::Stay(region) => region,
+            Route::Move { to, old } => old.unwrap_or(to),
+            Route::Held | Route::Lost => self.target.region(home, block).unwrap_or(home),
+        }
+    }
+
+    /// Counts a request of this node, whatever its route.
+    pub fn seen(&mut self, now: Millis) {
+        self.demand.count(now);
+    }
+
+    /// Counts an attempt to move a request to `to` and whether the shift limiter admitted it.
+    pub fn attempt(&mut self, to: u16, admitted: bool, now: Millis) {
+        self.step.count(to, &self.limits, now);
+        self.step.deferred |= !admitted;
+    }
+
+    /// Takes over a new plan or a change of the regions that are up, and ends steps.
+    pub fn tick(&mut self, tick: &Tick<'_>) {
+        self.renumber(tick.regions);
+        self.limits.clear();
+        self.limits.extend_from_slice(tick.limits);
+        let split = tick.plan.to.renumber(&tick.plan.regions, tick.regions);
+        self.wanted = Aim { split, lost: tick.down };
+        let lost_more = !self.target.lost.includes(tick.down);
+        if lost_more || (self.wanted != self.target && self.is_closed()) {
+            self.rebase(tick);
+        }
+        if tick.now - self.step.start >= tick.step {
+            self.end_step(tick);
+        }
+    }
+
+    /// How much of the plan's shift this node has done, in units of [`WHOLE`].
+    pub fn settled(&self) -> u32 {
+        if self.target.split != self.wanted.split {
+            return 0;
+        }
+        (self.settled >> DRAW_BITS) as u32
+    }
+
+    fn is_closed(&self) -> bool {
+        self.settled == self.progress
+    }
+
+    fn old(&self, at: u64, home: u16, block: u32) -> Option<u16> {
+        let track = self.base.iter().find(|track| at < track.until)?;
+        let old = track.aim.region(home, block)?;
+        (!self.wanted.lost.contains(old)).then_some(old)
+    }
+
+    /// Starts a shift to the wanted target from where this node serves its traffic now.
+    fn rebase(&mut self, tick: &Tick<'_>) {
+        let mut base = vec![Track { until: self.settled, aim: self.target.clone() }];
+        base.extend(self.base.drain(..).filter(|track| track.until > self.settled));
+        base.retain(|track| track.until > 0);
+        base.dedup_by(|later, earlier| {
+            let same = later.aim == earlier.aim;
+            earlier.until = if same { later.until } else { earlier.until };
+            same
+        });
+        self.base = base;
+        self.target = self.wanted.clone();
+        self.settled = 0;
+        self.progress = 0;
+        self.open(self.guess(), tick);
+    }
+
+    fn end_step(&mut self, tick: &Tick<'_>) {
+        if self.step.deferred {
+            let slab = (self.progress - self.settled) / 2;
+            self.open(slab, tick);
+            return;
+        }
+        self.settled = self.progress;
+        if self.settled == END {
+            self.base = vec![Track { until: END, aim: self.target.clone() }];
+        }
+        if self.wanted != self.target && self.base.len() < MAX_SEGMENTS {
+            self.rebase(tick);
+            return;
+        }
+        let slab = match self.step.peak {
+            0.0 => self.guess(),
+            peak => (self.slab as f64 * (FILL / peak).min(GROWTH)) as u64,
+        };
+        self.open(slab, tick);
+    }
+
+    fn open(&mut self, slab: u64, tick: &Tick<'_>) {
+        self.slab = slab.max(1);
+        self.progress = (self.settled + self.slab).min(END);
+        self.step = Step::new(tick.now, tick.regions.len());
+    }
+
+    /// A slab that fits if requests are spread evenly and all of them move to one region.
+    fn guess(&self) -> u64 {
+        let limit = self.limits.iter().copied().filter(|limit| *limit > 0).min().unwrap_or(0);
+        let demand = self.demand.peak().max(1);
+        let part = FILL * f64::from(limit) / f64::from(demand);
+        (END as f64 * part.min(1.0)) as u64
+    }
+
+    fn renumber(&mut self, regions: &Arc<[Arc<str>]>) {
+        if self.regions == *regions {
+            return;
+        }
+        let aims = self.base.iter_mut().map(|track| &mut track.aim);
+        for aim in aims.chain([&mut self.target]) {
+            aim.split = aim.split.renumber(&self.regions, regions);
+            aim.lost = Regions::NONE;
+        }
+        self.regions = Arc::clone(regions);
+    }
+}
+
+impl Aim {
+    fn region(&self, home: u16, block: u32) -> Option<u16> {
+        self.split.region(home, block, self.lost)
+    }
+}
+
+impl Step {
+    fn new(start: Millis, regions: usize) -> Step {
+        let attempts = vec![0; regions];
+        Step { start, second: start, attempts, peak: 0.0, deferred: false }
+    }
+
+    fn count(&mut self, to: u16, limits: &[u32], now: Millis) {
+        if now - self.second >= SECOND {
+            self.second = now;
+            self.attempts.fill(0);
+        }
+        let Some(attempts) = self.attempts.get_mut(usize::from(to)) else {
+            return;
+        };
+        *attempts += 1;
+        let limit = limits.get(usize::from(to)).copied().unwrap_or(0).max(1);
+        self.peak = self.peak.max(f64::from(*attempts) / f64::from(limit));
+    }
+}
+
+impl Demand {
+    fn count(&mut self, now: Millis) {
+        if now - self.second >= SECOND {
+            self.last = self.current;
+            self.current = 0;
+            self.second = now;
+        }
+        self.current += 1;
+    }
+
+    fn peak(&self) -> u32 {
+        self.last.max(self.current)
+    }
+}
+
+fn fine(position: u32) -> u64 {
+    u64::from(position) << DRAW_BITS
+}
