--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -18,6 +18,8 @@
     pub orders: usize,
     /// The most bytes of an order's answer that are kept for a repeat.
     pub answer_bytes: usize,
+    /// How often upstreams are asked for their load.
+    pub poll: Millis,
 }
 
 impl Config {
@@ -31,6 +33,7 @@
             retention: Millis::from_secs(900),
             orders: 100_000,
             answer_bytes: 16 << 10,
+            poll: Millis::from_secs(1),
         }
     }
 }
--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -1,16 +1,18 @@
 use crate::config::Config;
 use crate::gate::Gate;
-use crate::job::Job;
+use crate::limits::{Limits, Way};
 use crate::order::{Claimer, Ledger, Signer};
-use crate::pool::{Choice, Pool};
+use crate::service::Services;
 use crate::view::View;
 use arc_swap::ArcSwapOption;
-use clock::Clock;
+use clock::{Clock, Millis};
 use errors::{Error, Kind};
 use peer::Relay;
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::RngExt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use steering::lease;
+use steering::limit::Turn;
+use tokio::sync::Notify;
 use upstream::Transport;
 
 /// What all requests of one entry VM share.
@@ -23,9 +25,12 @@
     pub(crate) ledger: Ledger,
     pub(crate) claimer: Claimer,
     pub(crate) signer: Signer,
+    pub(crate) leases: lease::Key,
     pub(crate) view: ArcSwapOption<View>,
-    pool: Mutex<Pool>,
-    rng: Mutex<StdRng>,
+    /// Told whenever an attempt ends, for long requests that wait for a slot.
+    pub(crate) freed: Notify,
+    services: Mutex<Services>,
+    limits: Mutex<Limits>,
 }
 
 impl Core {
@@ -37,9 +42,13 @@
         claimer: Claimer,
         relay: Arc<dyn Relay>,
     ) -> Core {
+        let (vm, domain) = (Arc::clone(&config.vm), Arc::clone(&config.domain));
         Core {
             signer: Signer::new(&config.peer_key),
+            leases: lease::Key::derive(&config.peer_key),
             ledger: Ledger::new(config.orders),
+            services: Mutex::new(Services::new(Arc::clone(&vm), seed)),
+            limits: Mutex::new(Limits::new(vm, domain, clock.now())),
             config,
             clock,
             transport,
@@ -47,27 +56,59 @@
             gate: Arc::default(),
             claimer,
             view: ArcSwapOption::empty(),
-            pool: Mutex::default(),
-            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+            freed: Notify::new(),
         }
     }
 
+    /// Puts `view` in force for requests that arrive from now on.
+    pub(crate) fn install(&self, view: View) {
+        let now = self.clock.now();
+        let view = Arc::new(view);
+        self.services().update(&view, now);
+        self.limits().update(&view, now);
+        self.view.store(Some(view));
+        self.freed.notify_waiters();
+    }
+
     pub(crate) fn view(&self) -> Result<Arc<View>, Error> {
         let not_ready = || Error::new(Kind::NotReady, "this VM has no configuration yet");
         self.view.load_full().ok_or_else(not_ready)
     }
 
-    pub(crate) fn pool(&self) -> MutexGuard<'_, Pool> {
-        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn services(&self) -> MutexGuard<'_, Services> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn limits(&self) -> MutexGuard<'_, Limits> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn random(&self) -> u64 {
-        self.rng.lock().unwrap_or_else(PoisonError::into_inner).random()
+        self.services().rng.random()
     }
 
-    pub(crate) fn choose(&self, job: &Job, tried: &[Arc<str>]) -> Result<Choice, Error> {
-        let own = job.view.region(&self.config.domain);
-        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
-        self.pool().choose(job, own, tried, &mut rng)
+    /// Waits until the link to `region` has carried `bytes` more, or says that it can't in time.
+    pub(crate) async fn pace(
+        &self,
+        region: u16,
+        way: Way,
+        bytes: u64,
+        deadline: Millis,
+    ) -> Result<(), Late> {
+        let mut turn = Turn::default();
+        let mut left = bytes;
+        while left > 0 {
+            let now = self.clock.now();
+            let taken = self.limits().take(region, way, left, &mut turn, now);
+            match taken {
+                Ok(granted) => left -= granted,
+                Err(wait) if now + wait >= deadline => return Err(Late),
+                Err(wait) => self.clock.sleep(wait).await,
+            }
+        }
+        Ok(())
     }
 }
+
+/// The deadline passes before a link has room.
+pub(crate) struct Late;
--- a/components/entry/src/download.rs
+++ b/components/entry/src/download.rs
@@ -2,10 +2,14 @@
 use crate::fetch::{Fetched, attempt};
 use crate::gate::Pass;
 use crate::job::Job;
+use crate::limits::Way;
+use crate::route::Course;
+use crate::trace;
 use bytes::Bytes;
 use errors::{Error, Kind};
 use futures_util::{StreamExt, stream};
 use std::sync::Arc;
+use steering::choice::Outcome;
 use upstream::{Failure, HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 
 const RANGE: &str = "range";
@@ -14,12 +18,16 @@
 const CONTENT_RANGE: &str = "content-range";
 const CONTENT_LENGTH: &str = "content-length";
 
+/// Attempts for one answer, those of its first bytes included.
+const ATTEMPTS_MAX: u32 = 4;
+
 /// An idempotent answer on its way to the caller, which goes on from another upstream if it breaks.
 pub(crate) struct Download {
     core: Arc<Core>,
     job: Job,
-    fetched: Fetched,
-    tried: Vec<Arc<str>>,
+    /// The answer that arrives; none once it has ended.
+    fetched: Option<Fetched>,
+    course: Course,
     resumable: Option<Resumable>,
     received: u64,
     over: bool,
@@ -37,15 +45,15 @@
         core: &Arc<Core>,
         job: Job,
         fetched: Fetched,
-        tried: Vec<Arc<str>>,
+        course: Course,
         pass: Pass,
     ) -> Download {
         let resumable = resumable(&job, &fetched.reply);
         Download {
             core: Arc::clone(core),
             job,
-            fetched,
-            tried,
+            fetched: Some(fetched),
+            course,
             resumable,
             received: 0,
             over: false,
@@ -67,11 +75,12 @@
 
     async fn next(&mut self) -> Option<Result<Bytes, Error>> {
         loop {
-            match self.next_chunk().await? {
-                Ok(chunk) => {
+            match self.next_chunk().await {
+                Ok(Some(chunk)) => {
                     self.received += chunk.len() as u64;
                     return Some(Ok(chunk));
                 }
+                Ok(None) => return None,
                 Err(Cut::Late) => return Some(Err(late())),
                 Err(Cut::Broken(failure)) => match self.resume(failure).await {
                     Ok(()) => continue,
@@ -81,23 +90,49 @@
         }
     }
 
-    async fn next_chunk(&mut self) -> Option<Result<Bytes, Cut>> {
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, Cut> {
+        let Some(fetched) = &mut self.fetched else {
+            return Ok(None);
+        };
         let left = self.job.deadline - self.core.clock.now();
-        let waiting = self.fetched.reply.body.next();
-        match tokio::time::timeout(left.duration(), waiting).await {
-            Ok(item) => item.map(|item| item.map_err(Cut::Broken)),
-            Err(_) => Some(Err(Cut::Late)),
+        let waiting = fetched.reply.body.next();
+        let item = tokio::time::timeout(left.duration(), waiting).await;
+        match item.map_err(|_| Cut::Late)? {
+            Some(Ok(chunk)) => {
+                let (region, size) = (fetched.flight.region, chunk.len() as u64);
+                let paced = self.core.pace(region, Way::Receive, size, self.job.deadline).await;
+                paced.map_err(|_| Cut::Late)?;
+                Ok(Some(chunk))
+            }
+            Some(Err(failure)) => {
+                self.end(Outcome::Broken);
+                Err(Cut::Broken(failure))
+            }
+            None => {
+                self.end(Outcome::Answered);
+                Ok(None)
+            }
+        }
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        if let Some(fetched) = self.fetched.take() {
+            fetched.flight.end(outcome);
         }
     }
 
     async fn resume(&mut self, failure: Failure) -> Result<(), Error> {
         let broken = || Error::new(Kind::UpstreamBroken, failure.to_string());
         let resumable = self.resumable.as_ref().ok_or_else(broken)?;
+        if self.course.attempts() >= ATTEMPTS_MAX {
+            return Err(broken());
+        }
         let extra = resumable.headers(self.received);
-        let fetched = attempt(&self.core, &self.job, &mut self.tried, extra).await;
+        let fetched = attempt(&self.core, &self.job, &mut self.course, extra).await;
         let fetched = fetched.map_err(|_| broken())?;
         resumable.check(&fetched.reply, self.received)?;
-        self.fetched = fetched;
+        trace::resumption(&self.job);
+        self.fetched = Some(fetched);
         Ok(())
     }
 }
--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -2,7 +2,11 @@
 use crate::core::Core;
 use crate::fetch::fetch;
 use crate::job::Job;
+use crate::look_up::look_up;
 use crate::order::{self, Claimer, Origin, Owner};
+use crate::poll::Poller;
+use crate::report::Report;
+use crate::trace;
 use crate::view::View;
 use async_trait::async_trait;
 use caller::{Handler, Refusal, Reply, Request, lookup};
@@ -18,6 +22,7 @@
 #[derive(Clone)]
 pub struct Entry {
     core: Arc<Core>,
+    poller: Arc<Poller>,
 }
 
 impl Entry {
@@ -34,25 +39,32 @@
     ) -> Entry {
         let owner = Owner { vm: Arc::clone(&config.vm), incarnation: config.incarnation };
         let claimer = Claimer::new(table, owner);
-        let core = Core::new(config, clock, seed, transport, claimer, relay);
-        Entry { core: Arc::new(core) }
+        let core = Arc::new(Core::new(config, clock, seed, transport, claimer, relay));
+        let poller = Arc::new(Poller::new(&core));
+        Entry { core, poller }
     }
 
     /// Puts `snapshot` in force for requests that arrive from now on.
     pub fn install(&self, snapshot: Arc<Snapshot>) {
-        self.core.view.store(Some(Arc::new(View::new(snapshot))));
+        self.core.install(View::new(snapshot));
+    }
+
+    /// What `controld` is told: the plan in force here, the demand, and what leaves.
+    pub fn report(&self) -> Report {
+        Report::new(&self.core)
     }
 
     /// Shuts down: refuses new work as not run, finishes what is in flight, and ends.
     pub async fn close(self) {
         self.core.gate.leave();
         self.core.gate.wait_idle().await;
+        self.poller.stop();
         self.core.claimer.stop();
     }
 
     async fn serve(&self, id: Arc<str>, request: Request) -> Result<Reply, Refusal> {
         let core = &self.core;
-        let job = Job::new(id, request, core.view()?, core.clock.now())?;
+        let job = Job::new(core, id, request)?;
         if !job.request.idempotent {
             let pass = core.gate.enter_leaving();
             return order::start(core, job, Origin::Caller, pass).await;
@@ -65,25 +77,18 @@
 #[async_trait]
 impl Handler for Entry {
     fn look_up(&self, query: &lookup::Query) -> Result<lookup::Answer, Refusal> {
-        let view = self.core.view()?;
-        view.service(&query.service)?;
-        view.check_block(query.block)?;
-        let entry =
-            |vm: &steering::Vm| lookup::Entry { vm: Arc::clone(&vm.name), address: vm.caller };
-        Ok(lookup::Answer {
-            entries: view.live().take(3).map(entry).collect(),
-            lease_ms: view.snapshot.preset.lease_first.0,
-            token: "".into(),
-            order_prefix: order::own_prefix(&self.core).into(),
-            version: view.snapshot.version,
-        })
+        Ok(look_up(&self.core, query)?)
     }
 
     async fn forward(&self, request: Request) -> Result<Reply, Refusal> {
         let id = request.id.clone();
         let id = id.unwrap_or_else(|| format!("{:016x}", self.core.random()).into());
+        let service = Arc::clone(&request.service);
         let result = self.serve(Arc::clone(&id), request).await;
-        result.map_err(|refusal| Refusal { request: Some(id), ..refusal })
+        result.map_err(|refusal| {
+            trace::refused(&id, &service, &refusal);
+            Refusal { request: Some(id), ..refusal }
+        })
     }
 }
 
--- /dev/null
+++ b/components/entry/src/look_up.rs
@@ -0,0 +1,84 @@
+use crate::core::Core;
+use crate::order::sealed_prefix;
+use crate::view::View;
+use caller::lookup::{Answer, Entry, Query};
+use clock::Millis;
+use errors::{Error, Kind};
+use std::sync::Arc;
+use steering::lease::{self, Lease};
+use steering::{Lookup, Vm};
+use telemetry::{Action, Decision, names};
+
+/// Answers a look-up from the snapshot in force.
+pub(crate) fn look_up(core: &Core, query: &Query) -> Result<Answer, Error> {
+    // This VM may still be in the snapshot as live, so it would go on naming itself.
+    if core.gate.is_leaving() {
+        return Err(Error::new(Kind::Leaving, "this VM is shutting down"));
+    }
+    let view = core.view()?;
+    view.service(&query.service)?;
+    let now = core.clock.now();
+    let renewals = renewals(core, query, now)?;
+    let home = view.home(query.block)?;
+    let region = core.limits().serving(&view, home, query.block, now)?;
+    let found = steering::lookup(&view.index, query.block, &query.service, region, now)?;
+    let lease = lease::grant(&view.snapshot().preset, renewals, found.drain, now);
+    log(&view, query, &found, &lease);
+    answer(core, &view, query, &found, &lease)
+}
+
+fn renewals(core: &Core, query: &Query, now: Millis) -> Result<u32, Error> {
+    let Some(token) = &query.token else {
+        return Ok(0);
+    };
+    let previous = lease::open(&core.leases, query.block, token)?;
+    Ok(lease::renewals_after(&previous, now))
+}
+
+fn answer(
+    core: &Core,
+    view: &View,
+    query: &Query,
+    found: &Lookup,
+    lease: &Lease,
+) -> Result<Answer, Error> {
+    let vms = &view.snapshot().vms;
+    let named = found.entries.as_slice().iter().map(|vm| &vms[usize::from(*vm)]);
+    let first = named.clone().next().ok_or_else(|| Error::new(Kind::NotReady, "no entry VM"))?;
+    let entry = |vm: &Vm| Entry { vm: Arc::clone(&vm.name), address: vm.caller };
+    Ok(Answer {
+        entries: named.map(entry).collect(),
+        lease_ms: lease.span.0,
+        token: lease::seal(&core.leases, query.block, lease).into(),
+        order_prefix: order_prefix(core, first).into(),
+        version: view.snapshot().version,
+    })
+}
+
+// The first entry VM becomes the home of the caller's orders, so that most need no relay.
+fn order_prefix(core: &Core, first: &Vm) -> String {
+    match first.incarnation {
+        0 => sealed_prefix(core, &core.config.vm, core.config.incarnation),
+        incarnation => sealed_prefix(core, &first.name, incarnation),
+    }
+}
+
+fn log(view: &View, query: &Query, found: &Lookup, lease: &Lease) {
+    let reason = format!("{:?}", found.reason);
+    metrics::counter!(names::LOOKUPS, names::REASON => reason.clone()).increment(1);
+    metrics::histogram!(names::LEASE).record(lease.span.as_secs_f64());
+    let snapshot = view.snapshot();
+    let first = found.entries.as_slice().first();
+    let choice = first.map_or("", |vm| &*snapshot.vms[usize::from(*vm)].name);
+    telemetry::decide(&Decision {
+        action: Action::Lookup,
+        request: "",
+        block: Some(query.block),
+        service: &query.service,
+        choice,
+        reason: &reason,
+        epoch: snapshot.plan.epoch,
+        sequence: snapshot.plan.sequence,
+        version: snapshot.version,
+    });
+}
--- a/components/entry/src/order/mod.rs
+++ b/components/entry/src/order/mod.rs
@@ -17,4 +17,4 @@
 pub use id::{Id, Prefix};
 pub(crate) use ledger::Ledger;
 pub(crate) use relay::run_relayed;
-pub(crate) use start::{Origin, own_prefix, start};
+pub(crate) use start::{Origin, sealed_prefix, start};
--- a/components/entry/src/order/relay.rs
+++ b/components/entry/src/order/relay.rs
@@ -2,6 +2,7 @@
 use super::start::{Origin, start};
 use crate::core::Core;
 use crate::job::Job;
+use crate::trace;
 use bytes::{Bytes, BytesMut};
 use caller::{Refusal, Reply, Request};
 use errors::{Error, Kind};
@@ -26,6 +27,7 @@
     }
     let home = job.view.vm(&owner.vm, owner.incarnation);
     let home = home.ok_or_else(|| unknown("the order's home is gone"))?;
+    trace::order(job, &owner.vm, "relayed");
     let left = job.time_to_send(core.clock.now()).map_err(|_| unknown("no time left to ask"))?;
     let relaying = core.relay.relay(home.relay, order(job, left)?);
     match tokio::time::timeout(left.duration(), relaying).await {
@@ -82,7 +84,7 @@
 async fn run(core: &Arc<Core>, order: Order) -> Result<Answer, Refusal> {
     let request = request(order)?;
     let id = request.id.clone().unwrap_or_else(|| "relayed".into());
-    let job = Job::new(id, request, core.view()?, core.clock.now())?;
+    let job = Job::new(core, id, request)?;
     let pass = core.gate.enter_leaving();
     let reply = start(core, job, Origin::Peer, pass).await?;
     let headers = pack(&reply.headers);
--- a/components/entry/src/order/run.rs
+++ b/components/entry/src/order/run.rs
@@ -3,21 +3,26 @@
 use super::ledger::{Phase, Record, Slot};
 use super::outcome::{Answer, Digest, Outcome};
 use super::start::Refused;
-use crate::attempt::{Flight, Miss, send};
+use crate::attempt::{Miss, send};
 use crate::core::Core;
+use crate::fetch::{error, outcome};
+use crate::flight::Flight;
 use crate::gate::Pass;
 use crate::job::Job;
-use crate::reply;
+use crate::limits::Way;
+use crate::route::Course;
+use crate::{reply, trace};
 use bytes::Bytes;
 use caller::Reply;
 use errors::{Error, Kind};
 use futures_util::{StreamExt, stream};
 use std::sync::Arc;
+use steering::choice;
 use tokio::sync::{OwnedMutexGuard, oneshot};
 use upstream::{Failure, HeaderMap};
 
 /// Attempts for one order; a further one is made only if the former provably wasn't sent.
-const ATTEMPTS_MAX: usize = 3;
+const ATTEMPTS_MAX: u32 = 3;
 
 /// An order in a task of its own.
 pub(crate) struct Running {
@@ -69,10 +74,12 @@
         if self.core.gate.is_leaving() {
             return Err(Error::new(Kind::Leaving, "this VM is shutting down").into());
         }
+        // Admitted first, so that an order refused for a limit leaves no claim behind.
+        let course = Course::open(&self.core, &self.job)?;
         if !self.homed {
             self.claim(&held).await?;
         }
-        let (reply, flight) = self.send(&mut held).await?;
+        let (reply, flight) = self.send(&mut held, course).await?;
         Ok(Begun::Answered(Answered { reply, flight, held }))
     }
 
@@ -95,24 +102,30 @@
         }
     }
 
-    async fn send(&self, record: &mut Record) -> Result<(upstream::Reply, Flight), Error> {
-        let mut tried = Vec::new();
+    async fn send(
+        &self,
+        record: &mut Record,
+        mut course: Course,
+    ) -> Result<(upstream::Reply, Flight), Error> {
         loop {
+            let flight = course.next(&self.core, &self.job).await?;
+            let size = reply::request_size(&self.job);
+            let paced = self.core.pace(flight.region, Way::Send, size, self.job.deadline).await;
+            paced.map_err(|_| Error::new(Kind::DeadlineBeforeSend, "the link has no room"))?;
             let left = self.job.time_to_send(self.core.clock.now())?;
-            let choice = self.core.choose(&self.job, &tried)?;
-            tried.push(Arc::clone(&choice.upstream));
-            let flight = Flight::begin(&self.core, choice);
             record.phase = Phase::Sent;
             let error = match send(&self.core, &self.job, &flight, HeaderMap::new(), left).await {
                 Ok(reply) => return Ok((reply, flight)),
-                Err(Miss::Failed(Failure::NotSent { context })) => {
+                Err(Miss::Failed(failure @ Failure::NotSent { .. })) => {
                     record.phase = Phase::Unsent;
-                    if tried.len() < ATTEMPTS_MAX {
+                    flight.end(outcome(&failure));
+                    if course.attempts() < ATTEMPTS_MAX {
+                        trace::retry(&self.job, "not_sent");
                         continue;
                     }
-                    return Err(Error::new(Kind::NoUpstream, context));
+                    return Err(error(failure));
                 }
-                Err(miss) => failed(miss),
+                Err(miss) => failed(miss, flight),
             };
             record.phase = Phase::Ended(Outcome::Unknown(error.clone()));
             return Err(error);
@@ -125,8 +138,9 @@
         let (mut writer, body) = channel(self.core.clock, self.job.deadline);
         let headers = reply::headers(&self.job, reply.headers.clone());
         let _ = head.send(Ok(Reply { status: reply.status, headers, body }));
-        let outcome = self.read(&mut reply, &mut writer).await;
-        drop(flight);
+        let outcome = self.read(&mut reply, &mut writer, flight.region).await;
+        let complete = !matches!(outcome, Outcome::Unknown(_));
+        flight.end(if complete { choice::Outcome::Answered } else { choice::Outcome::Broken });
         held.phase = Phase::Ended(outcome.clone());
         drop(held);
         match outcome {
@@ -135,11 +149,12 @@
         }
     }
 
-    async fn read(&self, reply: &mut upstream::Reply, writer: &mut Writer) -> Outcome {
+    async fn read(&self, reply: &mut upstream::Reply, writer: &mut Writer, region: u16) -> Outcome {
         let mut copy = Copy::new(self.core.config.answer_bytes);
         loop {
             match self.next_chunk(reply).await {
                 Ok(Some(chunk)) => {
+                    self.pace(region, &chunk).await;
                     copy.add(&chunk);
                     writer.write(chunk).await;
                 }
@@ -149,6 +164,12 @@
         }
     }
 
+    // Past the deadline the bytes have come over the link all the same.
+    async fn pace(&self, region: u16, chunk: &Bytes) {
+        let size = chunk.len() as u64;
+        let _ = self.core.pace(region, Way::Receive, size, self.job.deadline).await;
+    }
+
     async fn next_chunk(&self, reply: &mut upstream::Reply) -> Result<Option<Bytes>, Error> {
         let left = self.job.deadline - self.core.clock.now();
         match tokio::time::timeout(left.duration(), reply.body.next()).await {
@@ -212,13 +233,16 @@
     Error::new(Kind::AlreadyRan, context)
 }
 
-fn failed(miss: Miss) -> Error {
+fn failed(miss: Miss, flight: Flight) -> Error {
     match miss {
-        Miss::Late => Error::new(Kind::DeadlineAfterSend, "no answer before the deadline"),
-        Miss::Failed(failure @ Failure::Shed { .. }) => {
-            Error::new(Kind::UpstreamShed, failure.to_string())
+        Miss::Late => {
+            flight.end(choice::Outcome::Broken);
+            Error::new(Kind::DeadlineAfterSend, "no answer before the deadline")
+        }
+        Miss::Failed(failure) => {
+            flight.end(outcome(&failure));
+            error(failure)
         }
-        Miss::Failed(failure) => Error::new(Kind::UpstreamBroken, failure.to_string()),
     }
 }
 
--- a/components/entry/src/order/start.rs
+++ b/components/entry/src/order/start.rs
@@ -93,9 +93,10 @@
     core.signer.name(&prefix(core), core.random())
 }
 
-/// The signed prefix that names this incarnation as home.
-pub(crate) fn own_prefix(core: &Core) -> String {
-    core.signer.seal(&prefix(core))
+/// The signed prefix that names the VM `vm` in this incarnation as home.
+pub(crate) fn sealed_prefix(core: &Core, vm: &Arc<str>, incarnation: u64) -> String {
+    let issued = core.clock.now();
+    core.signer.seal(&Prefix { vm: Arc::clone(vm), incarnation, issued })
 }
 
 fn prefix(core: &Core) -> Prefix {
--- a/components/entry/src/reply.rs
+++ b/components/entry/src/reply.rs
@@ -26,3 +26,11 @@
     }
     headers
 }
+
+/// Bytes of a request's line and headers, as far as links are concerned.
+const HEAD_BYTES: u64 = 512;
+
+/// The bytes that sending a request puts on a link.
+pub(crate) fn request_size(job: &Job) -> u64 {
+    job.request.body.len() as u64 + HEAD_BYTES
+}
--- /dev/null
+++ b/components/entry/src/service/state.rs
@@ -0,0 +1,161 @@
+use crate::service::Leaving;
+use crate::view::View;
+use clock::Millis;
+use rand::rngs::StdRng;
+use settings::Class;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use steering::choice::{
+    Choice, Outcome, Pick, Pool, Ranked, Report, Roster, Task, Ticket, Unavailable,
+};
+use steering::class::Classes;
+use steering::hedge::{Budget, Delay};
+use steering::retry;
+
+/// One service as this VM sees it.
+pub(crate) struct Service {
+    pools: BTreeMap<u16, Pool>,
+    addresses: BTreeMap<Arc<str>, SocketAddr>,
+    policy: Ranked,
+    classes: Classes,
+    delay: Delay,
+    budget: Budget,
+}
+
+/// What one attempt told of its upstream.
+pub(crate) struct Observed<'a> {
+    pub(crate) region: u16,
+    pub(crate) ticket: Ticket,
+    pub(crate) outcome: Outcome,
+    pub(crate) path: &'a str,
+    pub(crate) held: Millis,
+}
+
+impl Service {
+    pub(crate) fn new(class: Class) -> Service {
+        Service {
+            pools: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            policy: Ranked,
+            classes: Classes::new(class),
+            delay: Delay::new(),
+            budget: Budget::new(0.0),
+        }
+    }
+
+    /// Takes over a snapshot, keeping what was observed.
+    pub(crate) fn update(
+        &mut self,
+        view: &View,
+        service: &settings::Service,
+        vm: &str,
+        now: Millis,
+    ) {
+        self.classes.set_configured(service.class);
+        self.budget.set_ratio(view.snapshot().preset.hedge_budget);
+        let roster = Roster::new(view.snapshot(), &service.name, vm);
+        let address =
+            |c: &steering::choice::Candidate| (Arc::clone(&c.upstream.name), c.upstream.address);
+        let used = roster.candidates.iter().filter(|c| c.connections > 0);
+        self.addresses = used.map(address).collect();
+        for region in 0..view.index.regions().len() as u16 {
+            let mut part = roster.clone();
+            part.candidates.retain(|c| view.region_of(&c.upstream.domain) == Some(region));
+            self.pools.entry(region).or_default().update(&part, now);
+        }
+    }
+
+    /// Stops new work to upstreams that said that they leave, whatever the snapshot says.
+    pub(crate) fn apply(&mut self, leaving: &Leaving) {
+        for pool in self.pools.values_mut() {
+            for index in 0..pool.members().len() {
+                if leaving.contains(&pool.members()[index].name) {
+                    pool.mark_leaving(index);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn class(&self, path: &str) -> Class {
+        self.classes.class(path)
+    }
+
+    /// Chooses an upstream in `region` that isn't in `tried`.
+    pub(crate) fn choose(
+        &mut self,
+        region: u16,
+        class: Class,
+        repeatable: bool,
+        tried: &[Arc<str>],
+        now: Millis,
+        rng: &mut StdRng,
+    ) -> Result<Pick, Unavailable> {
+        let pool = self.pools.get_mut(&region).ok_or(Unavailable::Empty)?;
+        let tried = tried.iter().filter_map(|name| pool.index(name)).collect();
+        let task = Task { class, repeatable, tried };
+        self.policy.choose(pool, &task, now, rng)
+    }
+
+    /// Counts an attempt at the picked upstream.
+    pub(crate) fn start(&mut self, region: u16, pick: &Pick, class: Class, now: Millis) -> Ticket {
+        let probe = pick.reason == steering::choice::Reason::Probe;
+        self.pools.entry(region).or_default().start(pick.index, class, probe, now)
+    }
+
+    /// Notes how an attempt ended.
+    pub(crate) fn finish(&mut self, observed: &Observed<'_>, now: Millis) {
+        if let Some(pool) = self.pools.get_mut(&observed.region) {
+            pool.finish(observed.ticket, observed.outcome, now);
+        }
+        if observed.outcome == Outcome::Answered {
+            self.classes.observe(observed.path, observed.held);
+        }
+    }
+
+    pub(crate) fn address(&self, upstream: &str) -> Option<SocketAddr> {
+        self.addresses.get(upstream).copied()
+    }
+
+    /// The upstreams that this VM uses and where they are.
+    pub(crate) fn addresses(&self) -> &BTreeMap<Arc<str>, SocketAddr> {
+        &self.addresses
+    }
+
+    /// Notes a load report.
+    pub(crate) fn report(&mut self, upstream: &str, report: Report) {
+        for pool in self.pools.values_mut() {
+            if let Some(index) = pool.index(upstream) {
+                pool.report(index, report);
+            }
+        }
+    }
+
+    /// How long to wait before a second copy is sent, if one may be.
+    pub(crate) fn hedge_delay(&self, class: Class, idempotent: bool) -> Option<Millis> {
+        self.delay.get(class, idempotent)
+    }
+
+    /// Notes the time that a short request took to be answered.
+    pub(crate) fn observe_latency(&mut self, latency: Millis) {
+        self.delay.observe(latency);
+    }
+
+    pub(crate) fn earn(&mut self) {
+        self.budget.earn();
+    }
+
+    /// Takes a hedge or a resumption from the budget.
+    pub(crate) fn spend(&mut self) -> bool {
+        self.budget.spend()
+    }
+
+    pub(crate) fn retry(&mut self, attempt: retry::Attempt, now: Millis) -> retry::Decision {
+        retry::decide(attempt, &mut self.budget, now)
+    }
+
+    /// How long an answer of `region` usually takes.
+    pub(crate) fn usual(&self, region: u16) -> Millis {
+        Millis(self.pools.get(&region).map_or(0.0, Pool::usual) as u64)
+    }
+}
--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -14,6 +14,8 @@
 const SCHEDULES: u32 = 12_500;
 const ENTRIES: [&str; 3] = ["e1", "e2", "e3"];
 const IDS: usize = 4;
+/// Load reports play no part here.
+const POLL: Millis = Millis::from_secs(3600);
 const SETTLE: Millis = Millis::from_secs(12);
 
 #[derive(Clone, Debug)]
@@ -84,7 +86,7 @@
 }
 
 async fn play(steps: Vec<Step>) -> Result<(), String> {
-    let mut world = World::new();
+    let mut world = World::new(POLL).await;
     let ids = ids(&world)?;
     for (number, step) in steps.into_iter().enumerate() {
         world.clock.sleep(Millis(step.gap)).await;
--- a/components/entry/tests/drive/mod.rs
+++ b/components/entry/tests/drive/mod.rs
@@ -1,6 +1,6 @@
 //! Reads the steps of a session and takes them in a world.
 
-use crate::world::{Ask, World};
+use crate::world::{Ask, START, World};
 use clock::Millis;
 use entry::fake::Mode;
 use session::{Script, Step};
@@ -9,6 +9,7 @@
 use steering::State;
 use upstream::fake::Fault;
 
+const POLL: Millis = Millis::from_secs(1);
 const SETTLE: Millis = Millis::from_secs(60);
 const PATH: &str = "/place";
 
@@ -19,9 +20,9 @@
 }
 
 async fn play(script: &Script) -> Result<Vec<String>, Box<dyn Error>> {
-    let mut world = World::new();
+    let mut world = World::new(POLL).await;
     for step in &script.steps {
-        world.clock.sleep_until(step.at).await;
+        world.clock.sleep_until(START + step.at).await;
         take(&mut world, step)?;
     }
     world.clock.sleep(SETTLE).await;
@@ -37,7 +38,7 @@
     runs.sort_by_key(|run| run.at);
     let order = |id: &str| id.rsplit('~').next().unwrap_or_default().to_string();
     let line = |run: &upstream::fake::Run| {
-        format!("ran at {}: {} {} {}", run.at, run.upstream, run.request, order(&run.order))
+        format!("ran at {}: {} {} {}", run.at - START, run.upstream, run.request, order(&run.order))
             .trim_end()
             .to_string()
     };
--- a/components/entry/tests/world/mod.rs
+++ b/components/entry/tests/world/mod.rs
@@ -23,6 +23,9 @@
 const SEED: u64 = 7;
 const RELAY_DELAY: Millis = Millis(2);
 
+/// Entry VMs admit nothing in their first second; sessions begin after it.
+pub const START: Millis = Millis::from_secs(1);
+
 pub struct Node {
     pub process: Process,
     pub entry: Entry,
@@ -30,6 +33,7 @@
 
 pub struct World {
     pub clock: Clock,
+    poll: Millis,
     pub platform: Arc<Platform>,
     pub fleet: Arc<Fleet>,
     pub relays: Arc<Relays>,
@@ -42,11 +46,12 @@
 
 impl World {
     /// Three entry VMs `e1` to `e3`, and six upstreams of each service.
-    pub fn new() -> World {
+    pub async fn new(poll: Millis) -> World {
         let clock = Clock::at(Millis::ZERO);
         let snapshot = layout::snapshot();
-        let world = World {
+        let mut world = World {
             clock,
+            poll,
             platform: Platform::new(clock),
             fleet: layout::fleet(&snapshot, clock),
             relays: Relays::new(clock, RELAY_DELAY),
@@ -56,14 +61,11 @@
             prefixes: BTreeMap::new(),
             snapshot,
         };
-        world.started()
-    }
-
-    fn started(mut self) -> World {
         for name in ["e1", "e2", "e3"] {
-            self.start(name, 1);
+            world.start(name, 1);
         }
-        self
+        clock.sleep(START).await;
+        world
     }
 
     /// Starts the entry VM `name`, in place of the one that ran there.
@@ -74,6 +76,7 @@
         let (domain, relay) = (Arc::clone(&vm.domain), vm.relay);
         let process = Process::new();
         let config = Config::new(name.into(), domain, incarnation, PEER_KEY.into());
+        let config = Config { poll: self.poll, ..config };
         let transport: Arc<dyn upstream::Transport> = Arc::clone(&self.fleet) as _;
         let entry = Entry::new(
             config,
--- a/components/entry/tests/world/transcript.rs
+++ b/components/entry/tests/world/transcript.rs
@@ -1,3 +1,4 @@
+use crate::world::START;
 use clock::Millis;
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
@@ -10,7 +11,7 @@
 
 impl Transcript {
     pub fn note(&self, at: Millis, line: &str) {
-        self.0.lock().expect("no panic while locked").push(format!("{at}: {line}"));
+        self.0.lock().expect("no panic while locked").push(format!("{}: {line}", at - START));
     }
 
     pub fn lines(&self) -> Vec<String> {
--- a/components/steering/src/admission.rs
+++ b/components/steering/src/admission.rs
@@ -149,6 +149,27 @@
         }
     }
 
+    /// Lets a request through to `to`, because no upstream in the region that it was admitted to can
+    /// serve it; it counts as moved, under the shift cap.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::ShiftCapped`] or [`Kind::Overloaded`] if a limit of `to` is reached.
+    pub fn divert(&mut self, to: u16, now: Millis) -> Result<Admitted, Error> {
+        self.move_to(to, None, now)
+    }
+
+    /// Lets one more attempt of an admitted request through to the same region.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Overloaded`] if this node's share of the region is used up.
+    pub fn repeat(&mut self, region: u16, now: Millis) -> Result<(), Error> {
+        let gate = &mut self.gates[usize::from(region)];
+        let admitted = gate.requests.admit(now);
+        admitted.map_err(|_| Error::new(Kind::Overloaded, format!("{} is full", gate.name)))
+    }
+
     /// The region in which look-ups name entry VMs for `block` of region `home`.
     pub fn serving(&self, home: u16, block: u32) -> u16 {
         self.shift.serving(home, block)
