--- a/components/caller/src/lib.rs
+++ b/components/caller/src/lib.rs
@@ -4,6 +4,7 @@
 //! behind [`Handler`]. The protocol is described in docs/CALLERS.md.
 
 mod block;
+pub mod client;
 mod forward;
 mod handler;
 pub mod header;
--- /dev/null
+++ b/components/daemon/src/entryd.rs
@@ -0,0 +1,134 @@
+//! The data plane of one entry VM.
+
+use crate::{Listener, Socket};
+use clock::{Clock, Millis};
+use entry::{Config, Entry};
+use errors::{Error, Kind};
+use peer::http::{Key, Relay, relay_router};
+use peer::local::Client;
+use platform::Table;
+use serde::Serialize;
+use settings::Node;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::task::JoinHandle;
+use upstream::Transport;
+
+/// Pause after `controld` didn't answer.
+const RETRY: Millis = Millis(200);
+/// How long exchanges under way may take when a listener closes.
+const CLOSE_PATIENCE: Millis = Millis(30_000);
+
+/// A running `entryd`.
+pub struct Daemon {
+    entry: Entry,
+    follower: JoinHandle<()>,
+    listeners: [Listener; 2],
+    listen: Listen,
+}
+
+/// Where an `entryd` listens.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Listen {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For orders that other VMs relay.
+    pub relay: SocketAddr,
+}
+
+/// An `entryd` whose addresses are bound, so that its `controld` can tell them to peers.
+pub struct Bound {
+    node: Node,
+    caller: Socket,
+    relay: Socket,
+}
+
+impl Bound {
+    /// The node's settings, with the ports that were bound.
+    pub fn node(&self) -> &Node {
+        &self.node
+    }
+
+    /// Starts serving; requests are refused as not ready until the first snapshot arrives.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Internal`] when the HTTP client can't be set up.
+    pub fn open(
+        self,
+        local: SocketAddr,
+        table: Arc<dyn Table>,
+        clock: Clock,
+    ) -> Result<Daemon, Error> {
+        let Bound { node, caller, relay } = self;
+        let listen = Listen { caller: caller.address(), relay: relay.address() };
+        let key = Key::new(Arc::clone(&node.peer_key));
+        let entry = new_entry(&node, &key, table, clock)?;
+        let client = Client::new(key.clone(), local, node.peers.clone());
+        let follower = tokio::spawn(follow(entry.clone(), client, clock));
+        let listeners = [
+            caller.serve(caller::router(Arc::new(entry.clone()))),
+            relay.serve(relay_router(key, Arc::new(entry.clone()))),
+        ];
+        Ok(Daemon { entry, follower, listeners, listen })
+    }
+}
+
+impl Daemon {
+    /// Binds the node's addresses.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BadSettings`] when an address can't be bound.
+    pub async fn bind(node: Node) -> Result<Bound, Error> {
+        let caller = Socket::bind(node.caller).await?;
+        let relay = Socket::bind(node.relay).await?;
+        let node = Node { caller: caller.address(), relay: relay.address(), ..node };
+        Ok(Bound { node, caller, relay })
+    }
+
+    /// Whether a snapshot is in force that names at least `vms` entry VMs.
+    pub fn is_ready(&self, vms: usize) -> bool {
+        self.entry.snapshot().is_some_and(|snapshot| snapshot.vms.len() >= vms)
+    }
+
+    /// Where the daemon listens.
+    pub fn listen(&self) -> Listen {
+        self.listen
+    }
+
+    /// Refuses new work, finishes what is in flight, and ends.
+    pub async fn close(self) {
+        self.entry.close().await;
+        for listener in self.listeners {
+            listener.close(CLOSE_PATIENCE).await;
+        }
+        self.follower.abort();
+    }
+}
+
+fn new_entry(node: &Node, key: &Key, table: Arc<dyn Table>, clock: Clock) -> Result<Entry, Error> {
+    let incarnation = clock.now().0;
+    let (vm, domain) = (Arc::clone(&node.vm), Arc::clone(&node.domain));
+    let config = Config::new(vm, domain, incarnation, Arc::clone(&node.peer_key));
+    let transport: Arc<dyn Transport> = match upstream::Client::new(upstream::Config::default()) {
+        Ok(client) => Arc::new(client),
+        Err(cause) => return Err(Error::new(Kind::Internal, cause.to_string())),
+    };
+    let relay = Arc::new(Relay::new(key.clone()));
+    Ok(Entry::new(config, clock, incarnation, transport, table, relay))
+}
+
+/// Installs snapshots as they come; while none come, the entry goes on with the one it has.
+async fn follow(entry: Entry, mut client: Client, clock: Clock) {
+    loop {
+        match client.next(entry.report()).await {
+            Ok(Some(snapshot)) => entry.install(snapshot),
+            Ok(None) => {}
+            Err(failure) => {
+                log::warn!("no snapshot from controld: {failure}");
+                clock.sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/daemon/src/start.rs
@@ -0,0 +1,37 @@
+use errors::{Error, Kind};
+use serde::Serialize;
+use settings::Node;
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Reads a node's own file.
+///
+/// # Errors
+///
+/// [`Kind::BadSettings`] with every finding.
+pub fn load_node(path: &Path) -> Result<Node, Error> {
+    settings::load_node(path).map_err(|findings| {
+        let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+        Error::new(Kind::BadSettings, lines.join("\n"))
+    })
+}
+
+/// Prints where a daemon listens, as one line of JSON before any log line.
+pub fn announce<T>(listen: &T)
+where
+    T: Serialize,
+{
+    // Addresses always have a JSON form.
+    println!("{}", serde_json::to_string(listen).unwrap_or_default());
+}
+
+/// Prints the error, if any, and gives the exit code of its kind.
+pub fn exit(result: Result<(), Error>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(error.answer().exit)
+        }
+    }
+}
--- a/components/harness/src/fleet.rs
+++ b/components/harness/src/fleet.rs
@@ -10,6 +10,9 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::{env, fs, process};
 
+/// Peers that a node's file names.
+const PEERS: usize = 8;
+
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
 /// How many processes of each kind a fleet has.
@@ -78,7 +81,7 @@
             let domain = &size.domains[number % size.domains.len()];
             Node::new(&format!("e{}", number + 1), domain, platform_address, &directory)
         });
-        let nodes = nodes.collect();
+        let nodes = nodes.collect::<Result<_, _>>()?;
         let upstreams = Vec::new();
         let mut fleet =
             Fleet { platform, platform_address, nodes, upstreams, binaries, http, directory };
@@ -193,8 +196,7 @@
 
     fn peers_of(&self, number: usize) -> Vec<SocketAddr> {
         let others = self.nodes.iter().enumerate().filter(|(other, _)| *other != number);
-        let started = others.filter(|(_, node)| node.listen.peer.port() != 0);
-        started.map(|(_, node)| node.listen.peer).collect()
+        others.map(|(_, node)| node.listen.peer).take(PEERS).collect()
     }
 
     async fn post<T>(&self, path: &str, body: &T) -> Result<(), Error>
--- a/components/harness/src/node.rs
+++ b/components/harness/src/node.rs
@@ -1,11 +1,10 @@
 use crate::error::SystemSnafu;
 use crate::{Binaries, Error, Process};
-use serde::Deserialize;
-use snafu::{OptionExt, ResultExt};
+use snafu::ResultExt;
 use std::fmt::Write;
-use std::fs;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::{fs, process};
 
 /// The operators' key of every fleet.
 pub const KEY: &str = "harness-operator-key-0123456789abcdef";
@@ -18,7 +17,7 @@
     pub name: String,
     /// Its failure domain.
     pub domain: String,
-    /// Its addresses, with real ports once its daemons have started.
+    /// Its addresses.
     pub listen: Listen,
     /// Its `controld`, while it runs.
     pub controld: Option<Process>,
@@ -44,30 +43,28 @@
     pub local: SocketAddr,
 }
 
-/// What a daemon prints once it listens.
-#[derive(Clone, Copy, Debug, Deserialize)]
-struct Ready {
-    caller: Option<SocketAddr>,
-    relay: Option<SocketAddr>,
-    peer: Option<SocketAddr>,
-    operator: Option<SocketAddr>,
-    local: Option<SocketAddr>,
-}
-
 impl Node {
-    /// A node whose files stand in `directory` and whose ports are still open.
-    pub fn new(name: &str, domain: &str, platform: SocketAddr, directory: &Path) -> Node {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        Node {
+    /// A node whose files stand in `directory`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::System`] when no ports can be had.
+    pub fn new(
+        name: &str,
+        domain: &str,
+        platform: SocketAddr,
+        directory: &Path,
+    ) -> Result<Node, Error> {
+        Ok(Node {
             name: name.into(),
             domain: domain.into(),
-            listen: Listen { caller: any, relay: any, peer: any, operator: any, local: any },
+            listen: Listen::reserve()?,
             controld: None,
             entryd: None,
             platform,
             peers: Vec::new(),
             file: directory.join(format!("{name}.ini")),
-        }
+        })
     }
 
     /// Names the peers that the node asks first.
@@ -81,12 +78,7 @@
     ///
     /// [`Error`] when it doesn't come up.
     pub fn start_controld(&mut self, binaries: &Binaries) -> Result<(), Error> {
-        let process = self.start(&binaries.controld, "controld")?;
-        let ready = read_ready(&process)?;
-        self.listen.peer = ready.peer.unwrap_or(self.listen.peer);
-        self.listen.operator = ready.operator.unwrap_or(self.listen.operator);
-        self.listen.local = ready.local.unwrap_or(self.listen.local);
-        self.controld = Some(process);
+        self.controld = Some(self.start(&binaries.controld, "controld")?);
         Ok(())
     }
 
@@ -96,11 +88,7 @@
     ///
     /// [`Error`] when it doesn't come up.
     pub fn start_entryd(&mut self, binaries: &Binaries) -> Result<(), Error> {
-        let process = self.start(&binaries.entryd, "entryd")?;
-        let ready = read_ready(&process)?;
-        self.listen.caller = ready.caller.unwrap_or(self.listen.caller);
-        self.listen.relay = ready.relay.unwrap_or(self.listen.relay);
-        self.entryd = Some(process);
+        self.entryd = Some(self.start(&binaries.entryd, "entryd")?);
         Ok(())
     }
 
@@ -128,8 +116,26 @@
     }
 }
 
-fn read_ready(process: &Process) -> Result<Ready, Error> {
-    let line = process.first_line();
-    let silent = crate::error::SilentSnafu { name: process.name(), line };
-    serde_json::from_str(line).ok().context(silent)
+impl Listen {
+    /// Five free ports on a loopback address that only this process uses.
+    ///
+    /// Connections leave from 127.0.0.1, so they never take a port that is reserved here, even
+    /// while a daemon is dead.
+    fn reserve() -> Result<Listen, Error> {
+        let [_, _, high, low] = process::id().to_be_bytes();
+        let address = SocketAddr::from(([127, 64 | (high & 63), low, 1], 0));
+        let bind = || TcpListener::bind(address);
+        let sockets = [bind(), bind(), bind(), bind(), bind()];
+        let mut ports = Vec::new();
+        let mut held = Vec::new();
+        for socket in sockets {
+            let socket = socket.context(SystemSnafu { action: "reserve a port" })?;
+            ports.push(socket.local_addr().context(SystemSnafu { action: "read a port" })?);
+            held.push(socket);
+        }
+        let [caller, relay, peer, operator, local] = ports[..] else {
+            unreachable!("five sockets have five ports");
+        };
+        Ok(Listen { caller, relay, peer, operator, local })
+    }
 }
--- /dev/null
+++ b/src/bin/controld.rs
@@ -0,0 +1,41 @@
+//! The control plane's agent of an entry VM.
+
+use argh::FromArgs;
+use clock::Clock;
+use control::Platform;
+use daemon::controld::Daemon;
+use errors::{Error, Kind};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// The control plane's agent of an entry VM.
+#[derive(FromArgs)]
+struct Options {
+    /// the node's own settings file
+    #[argh(positional)]
+    node: PathBuf,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    daemon::exit(run(options).await)
+}
+
+async fn run(options: Options) -> Result<(), Error> {
+    let node = daemon::load_node(&options.node)?;
+    let client = platform::http::Client::new(node.platform.clone())
+        .map_err(|cause| Error::new(Kind::Internal, cause.to_string()))?;
+    let client = Arc::new(client);
+    let platform = Platform {
+        table: Arc::clone(&client) as _,
+        store: Arc::clone(&client) as _,
+        directory: client,
+    };
+    let daemon = Daemon::open(node, platform, Clock::system()).await?;
+    daemon::announce(&daemon.listen());
+    daemon::stop_requested().await?;
+    daemon.close().await;
+    Ok(())
+}
--- a/src/bin/standin.rs
+++ b/src/bin/standin.rs
@@ -55,13 +55,7 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let options: Options = argh::from_env();
-    match run(options.system).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::from(error.answer().exit)
-        }
-    }
+    daemon::exit(run(options.system).await)
 }
 
 async fn run(system: System) -> Result<(), Error> {
