--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -3,6 +3,8 @@
 //! A decision takes a [`Snapshot`], an observation, the time and a seed, and returns its reason
 //! with the result, so that it can be logged and tested in virtual time. See docs/DESIGN.md.
 
+pub mod admission;
+mod allot;
 pub mod choice;
 pub mod class;
 mod geography;
@@ -12,11 +14,15 @@
 pub mod limit;
 mod lookup;
 mod plan;
+pub mod planner;
 mod regions;
 pub mod retry;
 pub mod sample;
+pub mod share;
+pub mod shift;
 mod snapshot;
 mod split;
+pub mod weights;
 
 pub use geography::{delay, region_of};
 pub use index::Index;
