--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -17,7 +17,7 @@
 /// The data plane of one entry VM; clones are handles to the same one.
 #[derive(Clone)]
 pub struct Entry {
-    core: Arc<Core>,
+    pub(crate) core: Arc<Core>,
 }
 
 impl Entry {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod order;
 mod pool;
 mod reply;
+mod report;
 mod view;
 
 pub use config::Config;
