--- a/components/control/src/bootstrap.rs
+++ b/components/control/src/bootstrap.rs
@@ -29,7 +29,7 @@
     async fn meet_peers(&self) -> Vec<Peer> {
         let mut reached = Vec::new();
         for address in self.config.node.peers.clone() {
-            let peer = Peer { name: "".into(), address };
+            let peer = Peer::unnamed(address);
             let answer = self.ask(&peer, Ask::Roster, HEARTBEAT_TIMEOUT).await;
             let Ok(Body::Roster(records)) = answer else { continue };
             let mut state = self.state();
--- /dev/null
+++ b/components/control/src/explain.rs
@@ -0,0 +1,82 @@
+use crate::Agent;
+use crate::api::not_ready;
+use errors::Kind;
+use operator::Refusal;
+use operator::wire::{Entry, Explain, Explanation};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use steering::{Index, Regions, Snapshot, lookup, position};
+
+/// Bits of an address below its block.
+const HOST_BITS: u32 = 8;
+
+impl Agent {
+    /// Works out the look-up answer of a block from the snapshot in force.
+    pub(crate) fn explain_lookup(&self, query: &Explain) -> Result<Explanation, Refusal> {
+        let issue = self.snapshots.borrow().clone();
+        let snapshot = issue.ok_or_else(not_ready)?.snapshot;
+        let now = self.config.clock.now();
+        let block = parse_block(&query.block)?;
+        let known = |service: &&settings::Service| service.name == query.service;
+        if !snapshot.deployment.services.iter().any(|service| known(&service)) {
+            let context = format!("service `{}` is unknown", query.service);
+            return Err(Refusal::new(Kind::UnknownService, context));
+        }
+        let index = Index::new(Arc::clone(&snapshot));
+        let site = index.site(block).ok_or_else(|| {
+            Refusal::new(Kind::UnknownBlock, format!("no site holds block {}", query.block))
+        })?;
+        let home = index.home(site);
+        let region = serving_region(&snapshot, home, block, index.drained(now));
+        let answer = lookup(&index, block, &query.service, region, now)?;
+        let name = |region: u16| Arc::clone(&index.regions()[usize::from(region)]);
+        let reason = format!("{:?}", answer.reason);
+        let entry = |at: &u16| {
+            let vm = &snapshot.vms[usize::from(*at)];
+            Entry {
+                vm: Arc::clone(&vm.name),
+                domain: Arc::clone(&vm.domain),
+                address: vm.caller,
+                reason: format!("{:?}", vm.state).to_lowercase().into(),
+            }
+        };
+        Ok(Explanation {
+            block: settings::block::format(settings::Range { first: block, last: block }).into(),
+            service: Arc::clone(&query.service),
+            site: Arc::clone(&snapshot.deployment.sites[usize::from(site)].name),
+            region: name(answer.region),
+            reason: format!("home region {}, {}", name(home), reason.to_lowercase()).into(),
+            lease: snapshot.preset.lease_first,
+            version: snapshot.version,
+            plan: self.state().plan_summary(),
+            entries: answer.entries.as_slice().iter().map(entry).collect(),
+        })
+    }
+}
+
+/// The region that serves `block` once the moves that every node has made are counted.
+fn serving_region(snapshot: &Snapshot, home: u16, block: u32, lost: Regions) -> u16 {
+    let plan = &snapshot.plan;
+    let place = position(block);
+    let before = plan.from.iter().find(|segment| place < segment.until);
+    let split = match before {
+        Some(segment) if place >= plan.settled => &segment.split,
+        _ => &plan.to,
+    };
+    if split.rows.len() != snapshot.deployment.regions.len() {
+        return home;
+    }
+    split.region(home, block, lost).unwrap_or(home)
+}
+
+fn parse_block(text: &str) -> Result<u32, Refusal> {
+    if let Ok(address) = text.parse::<Ipv4Addr>() {
+        return Ok(address.to_bits() >> HOST_BITS);
+    }
+    let range = settings::block::parse(text);
+    let range = range.map_err(|problem| Refusal::new(Kind::Malformed, problem))?;
+    if range.first != range.last {
+        return Err(Refusal::new(Kind::Malformed, format!("`{text}` holds several blocks")));
+    }
+    Ok(range.first)
+}
--- /dev/null
+++ b/components/control/src/fake/entry.rs
@@ -0,0 +1,161 @@
+use super::{Cluster, DEMAND, address};
+use crate::Agent;
+use clock::{Clock, Millis};
+use peer::fake::Network;
+use peer::local::{Demand, Issue, Report, Source, merge};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use steering::sample;
+use steering::{Snapshot, WHOLE};
+use tokio::task::JoinHandle;
+
+/// What the stand-in `entryd` processes of a fleet were given, in order.
+#[derive(Clone)]
+pub struct Seen {
+    clock: Clock,
+    sights: Arc<Mutex<Vec<Sight>>>,
+}
+
+/// A snapshot that an `entryd` was given.
+#[derive(Clone, Debug)]
+pub struct Sight {
+    /// When.
+    pub at: Millis,
+    /// The VM's number.
+    pub vm: usize,
+    /// The incarnation of the `entryd`.
+    pub incarnation: u64,
+    /// The snapshot.
+    pub snapshot: Arc<Snapshot>,
+}
+
+impl Seen {
+    pub(super) fn new(clock: Clock) -> Seen {
+        Seen { clock, sights: Arc::default() }
+    }
+
+    fn add(&self, vm: usize, incarnation: u64, snapshot: Arc<Snapshot>) {
+        let sight = Sight { at: self.clock.now(), vm, incarnation, snapshot };
+        self.sights().push(sight);
+    }
+
+    /// Everything that was given so far.
+    pub fn all(&self) -> Vec<Sight> {
+        self.sights().clone()
+    }
+
+    fn sights(&self) -> MutexGuard<'_, Vec<Sight>> {
+        self.sights.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A stand-in `entryd`: it takes snapshots and reports, and decides nothing.
+pub(super) struct Entry {
+    runner: Arc<Runner>,
+    task: JoinHandle<()>,
+}
+
+struct Runner {
+    network: Arc<Network>,
+    clock: Clock,
+    seen: Seen,
+    number: usize,
+    address: SocketAddr,
+    incarnation: u64,
+    state: Mutex<State>,
+}
+
+struct State {
+    agent: Arc<Agent>,
+    held: Option<Issue>,
+    leaving: bool,
+}
+
+impl Entry {
+    pub(super) fn start(
+        cluster: &Cluster,
+        number: usize,
+        agent: Arc<Agent>,
+        incarnation: u64,
+    ) -> Entry {
+        let runner = Arc::new(Runner {
+            network: Arc::clone(&cluster.network),
+            clock: cluster.clock,
+            seen: cluster.seen.clone(),
+            number,
+            address: address(number),
+            incarnation,
+            state: Mutex::new(State { agent, held: None, leaving: false }),
+        });
+        let task = tokio::spawn(Arc::clone(&runner).run());
+        Entry { runner, task }
+    }
+
+    /// Asks another agent from here on.
+    pub(super) fn follow(&self, agent: Arc<Agent>) {
+        self.runner.state().agent = agent;
+    }
+
+    /// The snapshot that it holds.
+    pub(super) fn held(&self) -> Option<Arc<Snapshot>> {
+        self.runner.state().held.as_ref().map(|held| Arc::clone(&held.snapshot))
+    }
+
+    /// Reports that it is shutting down.
+    pub(super) fn leave(&self) {
+        self.runner.state().leaving = true;
+    }
+
+    pub(super) fn kill(self) {
+        self.task.abort();
+    }
+}
+
+impl Runner {
+    async fn run(self: Arc<Runner>) {
+        loop {
+            self.network.thawed(self.address).await;
+            let agent = Arc::clone(&self.state().agent);
+            let issue = agent.next(self.report()).await;
+            self.network.thawed(self.address).await;
+            match issue {
+                Some(issue) => self.take(issue),
+                None => self.clock.sleep(Millis(1)).await,
+            }
+        }
+    }
+
+    fn report(&self) -> Report {
+        let state = self.state();
+        let plan = state.held.as_ref().map(|held| &held.snapshot.plan);
+        let vm = sample::vm(self.number);
+        let region = vm.domain.split('-').next().unwrap_or_default();
+        Report {
+            vm: Arc::clone(&vm.name),
+            incarnation: self.incarnation,
+            stamp: state.held.as_ref().map(|held| held.stamp),
+            epoch: plan.map_or(0, |plan| plan.epoch),
+            sequence: plan.map_or(0, |plan| plan.sequence),
+            shift: plan.map_or(0, |plan| plan.shift),
+            settled: WHOLE,
+            leaving: state.leaving,
+            in_flight: 0,
+            demand: vec![Demand { region: region.into(), rate: f64::from(DEMAND) }],
+            leaving_upstreams: Vec::new(),
+        }
+    }
+
+    fn take(&self, issue: Issue) {
+        let mut state = self.state();
+        let snapshot = match &state.held {
+            Some(held) => Arc::new(merge(&held.snapshot, &issue.snapshot)),
+            None => issue.snapshot,
+        };
+        self.seen.add(self.number, self.incarnation, Arc::clone(&snapshot));
+        state.held = Some(Issue { stamp: issue.stamp, snapshot });
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/components/control/src/fake/gate.rs
@@ -0,0 +1,67 @@
+use async_trait::async_trait;
+use peer::fake::Network;
+use platform::fake::Client;
+use platform::{Commit, Directory, Failure, Listing, Row, Store, Table, Transaction};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The platform as one VM sees it; while the VM is frozen, its calls stand still.
+pub(super) struct Gate {
+    client: Arc<Client>,
+    network: Arc<Network>,
+    address: SocketAddr,
+}
+
+impl Gate {
+    pub(super) fn new(client: Arc<Client>, network: Arc<Network>, address: SocketAddr) -> Gate {
+        Gate { client, network, address }
+    }
+
+    async fn pass(&self) {
+        self.network.thawed(self.address).await;
+    }
+}
+
+#[async_trait]
+impl Table for Gate {
+    async fn read(&self, key: &str) -> Result<Option<Row>, Failure> {
+        self.pass().await;
+        let answer = self.client.read(key).await;
+        self.pass().await;
+        answer
+    }
+
+    async fn commit(&self, transaction: Transaction) -> Result<Commit, Failure> {
+        self.pass().await;
+        let answer = self.client.commit(transaction).await;
+        self.pass().await;
+        answer
+    }
+}
+
+#[async_trait]
+impl Store for Gate {
+    async fn put(&self, body: Vec<u8>) -> Result<Arc<str>, Failure> {
+        self.pass().await;
+        let answer = self.client.put(body).await;
+        self.pass().await;
+        answer
+    }
+
+    async fn get(&self, digest: &str) -> Result<Option<Vec<u8>>, Failure> {
+        self.pass().await;
+        let answer = self.client.get(digest).await;
+        self.pass().await;
+        answer
+    }
+}
+
+#[async_trait]
+impl Directory for Gate {
+    async fn list(&self) -> Result<Listing, Failure> {
+        self.pass().await;
+        let answer = self.client.list().await;
+        self.pass().await;
+        answer
+    }
+}
--- a/components/control/src/fetch.rs
+++ b/components/control/src/fetch.rs
@@ -1,5 +1,6 @@
 use crate::Agent;
-use crate::heartbeat::Peer;
+use crate::heartbeat::{Peer, peer_of};
+use crate::spread::Hop;
 use crate::state::Ahead;
 use clock::Millis;
 use errors::{Error, Kind};
@@ -34,7 +35,7 @@
     }
 
     pub(crate) async fn fetch_from(&self, address: SocketAddr, ahead: &Ahead) -> Result<(), Error> {
-        let peer = Peer { name: Arc::clone(&ahead.origin), address };
+        let peer = Peer::unnamed(address);
         if ahead.stamp.version > self.stamp().version {
             self.fetch_configuration(&peer, &ahead.origin).await?;
         }
@@ -91,11 +92,9 @@
         let Some(origin) = origins.last().cloned() else { return Vec::new() };
         let names = state.roster.names();
         let me = state.roster.name();
-        let hop = crate::spread::Hop { me: &me, origin: &origin };
+        let hop = Hop { me: &me, origin: &origin };
         let targets = self.config.spread.targets(&names, hop, &mut state.random);
-        let peer = |at: usize| {
-            state.roster.get(&names[at]).map(|record| crate::heartbeat::peer_of(&record.vm))
-        };
+        let peer = |at: usize| state.roster.get(&names[at]).map(|record| peer_of(&record.vm));
         let peers: Vec<Peer> = targets.into_iter().filter_map(peer).collect();
         peers.into_iter().map(|peer| (peer, Arc::clone(&origin))).collect()
     }
--- a/components/control/src/handler.rs
+++ b/components/control/src/handler.rs
@@ -45,7 +45,7 @@
     }
 
     async fn probe_for_other(&self, address: SocketAddr) -> Body {
-        let peer = Peer { name: "".into(), address };
+        let peer = Peer::unnamed(address);
         match self.ask(&peer, Ask::Heartbeat, HEARTBEAT_TIMEOUT).await {
             Ok(_) => Body::Heard,
             Err(_) => Body::Unreachable,
--- a/components/control/src/heartbeat.rs
+++ b/components/control/src/heartbeat.rs
@@ -18,6 +18,13 @@
     pub address: SocketAddr,
 }
 
+impl Peer {
+    /// A peer of which only the address is known.
+    pub(crate) fn unnamed(address: SocketAddr) -> Peer {
+        Peer { name: address.to_string().into(), address }
+    }
+}
+
 impl Agent {
     /// Asks `peer` and takes in the header of its reply.
     pub(crate) async fn ask(
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -6,9 +6,13 @@
 //! `entryd`.
 
 mod agent;
+mod api;
 mod bootstrap;
+mod commit;
 mod config;
 mod control;
+mod explain;
+pub mod fake;
 mod fetch;
 mod gossip;
 mod handler;
--- /dev/null
+++ b/components/control/tests/fleet/mod.rs
@@ -0,0 +1,208 @@
+//! Plays a session over a fleet and writes down what its stand-ins saw.
+
+mod verdict;
+
+use clock::{Clock, Millis};
+use control::fake::Cluster;
+use operator::wire::Apply;
+use operator::wire::{Accepted, CancelDrain, Outcome, PlanDrain, UsePreset};
+use operator::{Api, Refusal};
+use platform::fake::Fault;
+use session::{Script, Step};
+use settings::{Drain, Target};
+use std::error::Error;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::task::JoinHandle;
+use verdict::Commits;
+
+const SEED: u64 = 7;
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+/// The transcript, written by the session and by the operators' tasks.
+#[derive(Clone)]
+struct Log {
+    clock: Clock,
+    start: Millis,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Log {
+    fn line(&self, text: &str) {
+        let at = self.clock.now() - self.start;
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push(format!("{:>6} {text}", at.0));
+    }
+}
+
+struct Player {
+    cluster: Cluster,
+    log: Log,
+    commits: Commits,
+    operators: Vec<(usize, JoinHandle<()>)>,
+}
+
+pub async fn play(script: &Script) -> Result<Vec<String>> {
+    let vms = match script.steps.first() {
+        Some(step) if step.verb == "fleet" => number(step, "vms")?,
+        _ => return Err("the first step must be `fleet`".into()),
+    };
+    let cluster = Cluster::new(vms, SEED);
+    let clock = cluster.clock;
+    let log = Log { clock, start: clock.now(), lines: Arc::default() };
+    let commits = Commits::watch(Arc::clone(&cluster.platform), clock);
+    let mut player = Player { cluster, log, commits, operators: Vec::new() };
+    for step in &script.steps {
+        clock.sleep_until(player.log.start + step.at).await;
+        player.step(step).await?;
+    }
+    let mut lines = player.log.lines.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    lines.extend(verdict::judge(&player.cluster, &player.commits));
+    Ok(lines)
+}
+
+impl Player {
+    async fn step(&mut self, step: &Step) -> Result<()> {
+        match step.verb.as_str() {
+            "fleet" => self.cluster.start_all(),
+            "apply" | "preset" | "drain" | "cancel" | "outcome" => self.operate(step)?,
+            "fault" => self.cluster.platform.inject(fault(step)?),
+            "mend" => self.cluster.platform.mend(),
+            "kill" => self.kill(step)?,
+            "start" => self.cluster.start(vm(step)?),
+            "remove" => self.cluster.platform.remove(&steering::sample::vm(vm(step)?).name),
+            "restart-agent" => self.cluster.restart_agent(vm(step)?),
+            "freeze" => self.cluster.freeze(vm(step)?),
+            "thaw" => self.cluster.thaw(vm(step)?),
+            "close" => self.cluster.close(vm(step)?).await,
+            "cut" => self.cut(step)?,
+            "heal" => self.cluster.network.heal(),
+            "loss" => self.cluster.network.set_loss(word(step)?.parse()?),
+            "look" => self.look(),
+            other => return Err(format!("unknown verb `{other}`").into()),
+        }
+        if !matches!(step.verb.as_str(), "look" | "fleet") {
+            let options = step.options.iter().map(|(key, value)| format!(" {key}={value}"));
+            let words: String = step.words.iter().map(|word| format!(" {word}")).collect();
+            let options: String = options.collect();
+            self.log.line(&format!("# {}{words}{options}", step.verb));
+        }
+        Ok(())
+    }
+
+    /// Kills a VM and the operators' acts that it was carrying out.
+    fn kill(&mut self, step: &Step) -> Result<()> {
+        let vm = vm(step)?;
+        self.cluster.kill(vm);
+        for (_, act) in self.operators.iter().filter(|(at, _)| *at == vm) {
+            act.abort();
+        }
+        Ok(())
+    }
+
+    fn cut(&self, step: &Step) -> Result<()> {
+        if let Some(region) = step.option("region") {
+            let region: u16 = region.parse()?;
+            self.cluster.cut(|vm| steering::sample::region_of_vm(vm) == region);
+            return Ok(());
+        }
+        let vm = vm(step)?;
+        self.cluster.cut(|other| other == vm);
+        Ok(())
+    }
+
+    /// Starts an operator's act; its answer is written down when it comes.
+    fn operate(&mut self, step: &Step) -> Result<()> {
+        let at = number(step, "at")?;
+        let agent = self.cluster.agent(at).ok_or("the VM isn't running")?;
+        let operation: Arc<str> = step.option("op").ok_or("op is missing")?.into();
+        let expected = step.option("expected").unwrap_or("0").parse()?;
+        let name: Arc<str> = step.words.first().map_or("", String::as_str).into();
+        let log = self.log.clone();
+        let verb = step.verb.clone();
+        let source = settings::write(&self.cluster.declaration());
+        let start = self.log.clock.now();
+        let act = tokio::spawn(async move {
+            let op = Arc::clone(&operation);
+            let answer = match verb.as_str() {
+                "apply" => agent.apply(Apply { expected, operation, source }).await,
+                "preset" => agent.use_preset(UsePreset { expected, operation, preset: name }).await,
+                "cancel" => {
+                    agent.cancel_drain(CancelDrain { expected, operation, drain: name }).await
+                }
+                "drain" => {
+                    let target = Target::Region("sud".into());
+                    let (start, end) = (start + Millis(600_000), start + Millis(900_000));
+                    let drain = Drain { name, target, start, end };
+                    agent.plan_drain(PlanDrain { expected, operation, drain }).await
+                }
+                _ => {
+                    return log.line(&format!("{op}: {}", outcome(agent.outcome(operation).await)));
+                }
+            };
+            log.line(&format!("{op}: {}", describe(answer)));
+        });
+        self.operators.push((at, act));
+        Ok(())
+    }
+
+    /// Writes down what each `entryd` holds, grouped.
+    fn look(&self) {
+        for line in verdict::holdings(&self.cluster) {
+            self.log.line(&line);
+        }
+    }
+}
+
+fn describe(answer: std::result::Result<Accepted, Refusal>) -> String {
+    match answer {
+        Ok(accepted) => {
+            let known = accepted.domains.iter().filter(|domain| domain.installed > 0).count();
+            let all = accepted.domains.len();
+            format!("version {}, acknowledged by {known} of {all} domains", accepted.version)
+        }
+        Err(refusal) => match refusal.winner {
+            Some(winner) => {
+                format!(
+                    "{:?}: version {} by {} won",
+                    refusal.kind, winner.version, winner.operation
+                )
+            }
+            None => format!("{:?}: {}", refusal.kind, refusal.context),
+        },
+    }
+}
+
+fn outcome(answer: std::result::Result<Outcome, Refusal>) -> String {
+    match answer {
+        Ok(Outcome::Committed { version }) => format!("made version {version}"),
+        Ok(other) => format!("{other:?}"),
+        Err(refusal) => format!("{:?}", refusal.kind),
+    }
+}
+
+fn fault(step: &Step) -> Result<Fault> {
+    Ok(match word(step)? {
+        "down" => Fault::Down,
+        "table-down" => Fault::TableDown,
+        "directory-down" => Fault::DirectoryDown,
+        "lose-answers" => Fault::LoseAnswers(u32::try_from(number(step, "count")?)?),
+        "lose-requests" => Fault::LoseRequests(u32::try_from(number(step, "count")?)?),
+        "slow" => Fault::Slow(Millis(number(step, "ms")? as u64)),
+        "lag" => Fault::Lag(Millis(number(step, "ms")? as u64)),
+        "cut" => Fault::Cut(steering::sample::vm(number(step, "vm")?).name),
+        other => return Err(format!("unknown fault `{other}`").into()),
+    })
+}
+
+fn word(step: &Step) -> Result<&str> {
+    Ok(step.words.first().ok_or("a word is missing")?)
+}
+
+fn vm(step: &Step) -> Result<usize> {
+    Ok(word(step)?.parse()?)
+}
+
+fn number(step: &Step, key: &str) -> Result<usize> {
+    Ok(step.option(key).ok_or_else(|| format!("{key} is missing"))?.parse()?)
+}
--- a/components/peer/src/local.rs
+++ b/components/peer/src/local.rs
@@ -46,6 +46,10 @@
     pub epoch: u64,
     /// The sequence of the plan that it enforces.
     pub sequence: u64,
+    /// The number of that plan's shift.
+    pub shift: u64,
+    /// How much of that shift it has done, in units of [`steering::WHOLE`].
+    pub settled: u32,
     /// Whether it is shutting down.
     pub leaving: bool,
     /// Requests that it is serving.
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -124,6 +124,10 @@
     pub epoch: u64,
     /// The sequence of the plan that the node's `entryd` enforces.
     pub sequence: u64,
+    /// The number of that plan's shift.
+    pub shift: u64,
+    /// How much of that shift the `entryd` has done, in units of [`steering::WHOLE`].
+    pub settled: u32,
     /// Requests a second that the node was asked for, admitted or not, by destination region.
     pub demand: Vec<Demand>,
 }
