--- /dev/null
+++ b/components/bench/src/scene.rs
@@ -0,0 +1,146 @@
+use clock::Millis;
+use settings::{Class, Deployment, Link, Region, Service};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use steering::{Snapshot, State, Upstream, Vm, sample};
+
+const ENTRIES: usize = 9;
+const SERVERS: u32 = 12;
+const CONNECTIONS: u32 = 330;
+const UPSTREAM_PORT: u16 = 8000;
+
+/// One of the two deployments that heatherbend is made for, with the sizes of today.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scene {
+    /// Three regions 12 ms apart; three slots on each server.
+    Maalwerk,
+    /// Three regions 55 ms apart; eight slots on each server of the status service.
+    Lumiere,
+}
+
+impl Scene {
+    /// Both deployments.
+    pub const ALL: [Scene; 2] = [Scene::Maalwerk, Scene::Lumiere];
+
+    /// The deployment of this name.
+    pub fn parse(name: &str) -> Option<Scene> {
+        Scene::ALL.into_iter().find(|scene| scene.name() == name)
+    }
+
+    /// The deployment's name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Scene::Maalwerk => "maalwerk",
+            Scene::Lumiere => "lumiere",
+        }
+    }
+
+    /// The service that callers read status from, whose requests are short.
+    pub fn status_service(self) -> &'static str {
+        match self {
+            Scene::Maalwerk => "status-desk",
+            Scene::Lumiere => "circuit-status",
+        }
+    }
+
+    /// The slots of one server of the status service.
+    pub fn slots(self) -> u32 {
+        match self {
+            Scene::Maalwerk => 3,
+            Scene::Lumiere => 8,
+        }
+    }
+
+    /// The snapshot that every entry VM holds.
+    pub fn snapshot(self) -> Snapshot {
+        let mut snapshot = sample::snapshot(sample::Size::TODAY);
+        snapshot.deployment = Arc::new(self.deployment());
+        snapshot.vms = (0..ENTRIES).map(|number| self.entry(number)).collect();
+        snapshot.upstreams = (0..SERVERS as usize).map(|number| self.server(number)).collect();
+        snapshot.preset.long_share = LONG_SHARE;
+        snapshot
+    }
+
+    fn deployment(self) -> Deployment {
+        let mut deployment = sample::deployment(sample::Size::TODAY, 10_000);
+        deployment.name = self.name().into();
+        deployment.domain_delay = self.domain_delay();
+        deployment.regions = self.regions().iter().map(|name| region(name)).collect();
+        deployment.links = self.links();
+        deployment.sites.clear();
+        deployment.services = vec![Service {
+            name: self.status_service().into(),
+            class: Class::Short,
+            servers: SERVERS,
+            slots: self.slots(),
+            connections: CONNECTIONS,
+            connect: Millis(1),
+            deadline: Millis(5000),
+        }];
+        deployment
+    }
+
+    fn regions(self) -> [&'static str; 3] {
+        match self {
+            Scene::Maalwerk => ["antwerpen", "gent", "leuven"],
+            Scene::Lumiere => ["nord", "centre", "sud"],
+        }
+    }
+
+    fn domain_delay(self) -> Millis {
+        match self {
+            Scene::Maalwerk => Millis(5),
+            Scene::Lumiere => Millis(4),
+        }
+    }
+
+    fn links(self) -> Vec<Link> {
+        let (capacity_mbit, delay) = match self {
+            Scene::Maalwerk => (280, Millis(12)),
+            Scene::Lumiere => (4000, Millis(55)),
+        };
+        let regions = self.regions();
+        let link = |from: usize, to: usize| Link {
+            from: regions[from].into(),
+            to: regions[to].into(),
+            capacity_mbit,
+            delay,
+        };
+        vec![link(0, 1), link(0, 2), link(1, 2)]
+    }
+
+    fn entry(self, number: usize) -> Vm {
+        let mut vm = sample::vm(number);
+        vm.domain = self.domain(number);
+        vm
+    }
+
+    fn server(self, number: usize) -> Upstream {
+        let octets = [10, 1, 0, number as u8];
+        Upstream {
+            name: format!("server-{number:02}").into(),
+            service: self.status_service().into(),
+            domain: self.domain(number),
+            address: SocketAddr::from((Ipv4Addr::from(octets), UPSTREAM_PORT)),
+            state: State::Live,
+        }
+    }
+
+    /// Spreads VMs evenly over regions, then over the failure domains of each.
+    fn domain(self, number: usize) -> Arc<str> {
+        let region = self.regions()[number % 3];
+        domain_name(region, number / 3 % 2)
+    }
+}
+
+/// The part of the slots that long requests may hold.
+const LONG_SHARE: f64 = 0.34;
+
+fn region(name: &str) -> Region {
+    let domains = vec![domain_name(name, 0), domain_name(name, 1)];
+    Region { name: name.into(), domains, capacity: 10_000 }
+}
+
+fn domain_name(region: &str, number: usize) -> Arc<str> {
+    format!("{region}-{number}").into()
+}
