--- a/components/daemon/src/controld.rs
+++ b/components/daemon/src/controld.rs
@@ -47,7 +47,7 @@
         let listen =
             Listen { peer: peer.address(), operator: operator.address(), local: local.address() };
         let key = Key::new(Arc::clone(&node.peer_key));
-        let operator_key = Arc::clone(&node.operator_key);
+        let operator_key = operator::Key::new(Arc::clone(&node.operator_key));
         let node =
             Node { peer: listen.peer, operator: listen.operator, local: listen.local, ..node };
         let transport = Arc::new(Client::new(key.clone()));
--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -12,13 +12,12 @@
         Report {
             vm: Arc::clone(&core.config.vm),
             incarnation: core.config.incarnation,
-            stamp: None,
             epoch,
             sequence,
             leaving: core.gate.is_leaving(),
             in_flight: u32::try_from(core.gate.in_flight()).unwrap_or(u32::MAX),
-            demand: Vec::new(),
             leaving_upstreams: core.pool().leaving(),
+            ..Report::default()
         }
     }
 
