Serve the operators' interface over HTTP, and its client

The client says not run only when no connection was made, and unknown with the operation's id when an answer to an act is lost.

--- /dev/null
+++ b/components/operator/src/fake.rs
@@ -0,0 +1,222 @@
+//! A control process in memory, for tests of the interface and of the command line.
+
+use crate::Api;
+use crate::wire::{
+    Accepted, Apply, CancelDrain, Current, Domain, Entry, Explain, Explanation, Outcome, Plan,
+    PlanDrain, Refusal, Status, UsePreset, Vm, Winner,
+};
+use async_trait::async_trait;
+use clock::Millis;
+use errors::Kind;
+use settings::{Declaration, ORDINARY, block};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard};
+use steering::State;
+
+const VM: &str = "e1";
+const CALLERS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 7100);
+
+/// A control process that commits every act to its own memory.
+#[derive(Default)]
+pub struct Control {
+    held: Mutex<Held>,
+}
+
+#[derive(Default)]
+struct Held {
+    current: Option<Current>,
+    operations: BTreeMap<Arc<str>, u64>,
+    lose_next: bool,
+}
+
+impl Control {
+    /// Makes the next act take effect and its answer get lost.
+    pub fn lose_next_answer(&self) {
+        self.held().lose_next = true;
+    }
+
+    /// Lets another operator's act take effect first.
+    pub fn race(&self, operation: &str) {
+        let mut held = self.held();
+        let next = held.current.clone();
+        if let Some(current) = next {
+            held.commit(operation.into(), current.declaration, current.preset);
+        }
+    }
+
+    fn held(&self) -> MutexGuard<'_, Held> {
+        self.held.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn act<Change>(
+        &self,
+        expected: u64,
+        operation: Arc<str>,
+        change: Change,
+    ) -> Result<Accepted, Refusal>
+    where
+        Change: FnOnce(&mut Declaration, &mut Arc<str>) -> Result<(), Refusal>,
+    {
+        let mut held = self.held();
+        if let Some(version) = held.operations.get(&operation) {
+            return Ok(accepted(*version, operation));
+        }
+        let (mut declaration, mut preset) = match &held.current {
+            Some(current) => (current.declaration.clone(), Arc::clone(&current.preset)),
+            None => (empty(), ORDINARY.into()),
+        };
+        held.expect(expected)?;
+        change(&mut declaration, &mut preset)?;
+        let version = held.commit(Arc::clone(&operation), declaration, preset);
+        if std::mem::take(&mut held.lose_next) {
+            return Err(Refusal::unknown(operation, "the platform's answer was lost"));
+        }
+        Ok(accepted(version, operation))
+    }
+}
+
+impl Held {
+    fn version(&self) -> u64 {
+        self.current.as_ref().map_or(0, |current| current.version)
+    }
+
+    fn expect(&self, expected: u64) -> Result<(), Refusal> {
+        match &self.current {
+            Some(current) if current.version != expected => Err(Refusal::conflict(Winner {
+                version: current.version,
+                operation: Arc::clone(&current.operation),
+            })),
+            _ => Ok(()),
+        }
+    }
+
+    fn commit(&mut self, operation: Arc<str>, declaration: Declaration, preset: Arc<str>) -> u64 {
+        let version = self.version() + 1;
+        self.operations.insert(Arc::clone(&operation), version);
+        self.current = Some(Current { version, operation, preset, declaration });
+        version
+    }
+}
+
+#[async_trait]
+impl Api for Control {
+    async fn status(&self) -> Result<Status, Refusal> {
+        let held = self.held();
+        let version = held.version();
+        let (preset, drains) = match &held.current {
+            Some(current) => (Arc::clone(&current.preset), current.declaration.drains.clone()),
+            None => ("".into(), Vec::new()),
+        };
+        let vm = Vm { name: VM.into(), domain: "d1".into(), state: State::Live, version };
+        Ok(Status {
+            vm: VM.into(),
+            version,
+            preset,
+            drains,
+            plan: Plan { epoch: 1, sequence: version, progress: 100 },
+            platform: true,
+            domains: domains(),
+            vms: vec![vm],
+        })
+    }
+
+    async fn current(&self) -> Result<Current, Refusal> {
+        let current = self.held().current.clone();
+        current.ok_or_else(|| Refusal::new(Kind::NotReady, "no declaration was applied yet"))
+    }
+
+    async fn apply(&self, act: Apply) -> Result<Accepted, Refusal> {
+        let parsed = settings::parse(&act.source).map_err(|found| {
+            Refusal::new(Kind::BadSettings, format!("{} findings", found.len()))
+        })?;
+        self.act(act.expected, act.operation, |declaration, _| {
+            *declaration = parsed;
+            Ok(())
+        })
+    }
+
+    async fn use_preset(&self, act: UsePreset) -> Result<Accepted, Refusal> {
+        self.act(act.expected, act.operation, |declaration, preset| {
+            if !declaration.presets.iter().any(|each| each.name == act.preset) {
+                let context = format!("preset `{}` is unknown", act.preset);
+                return Err(Refusal::new(Kind::BadSettings, context));
+            }
+            *preset = act.preset;
+            Ok(())
+        })
+    }
+
+    async fn plan_drain(&self, act: PlanDrain) -> Result<Accepted, Refusal> {
+        self.act(act.expected, act.operation, |declaration, _| {
+            declaration.drains.push(act.drain);
+            Ok(())
+        })
+    }
+
+    async fn cancel_drain(&self, act: CancelDrain) -> Result<Accepted, Refusal> {
+        self.act(act.expected, act.operation, |declaration, _| {
+            declaration.drains.retain(|drain| drain.name != act.drain);
+            Ok(())
+        })
+    }
+
+    async fn explain(&self, query: Explain) -> Result<Explanation, Refusal> {
+        let range =
+            block::parse(&query.block).map_err(|problem| Refusal::new(Kind::Malformed, problem))?;
+        let current = self.current().await?;
+        let deployment = &current.declaration.deployment;
+        let holds = |site: &&settings::Site| {
+            site.blocks.iter().any(|each| (each.first..=each.last).contains(&range.first))
+        };
+        let site = deployment.sites.iter().find(holds);
+        let site = site.ok_or_else(|| Refusal::new(Kind::UnknownBlock, "no site holds it"))?;
+        let entry = Entry {
+            vm: VM.into(),
+            domain: "d1".into(),
+            address: CALLERS,
+            reason: "highest rendezvous weight".into(),
+        };
+        Ok(Explanation {
+            block: query.block,
+            service: query.service,
+            site: Arc::clone(&site.name),
+            region: Arc::clone(&site.region),
+            reason: "nearest region within its share".into(),
+            lease: Millis::from_secs(30),
+            version: current.version,
+            plan: Plan { epoch: 1, sequence: current.version, progress: 100 },
+            entries: vec![entry],
+        })
+    }
+
+    async fn outcome(&self, operation: Arc<str>) -> Result<Outcome, Refusal> {
+        let version = self.held().operations.get(&operation).copied();
+        Ok(version.map_or(Outcome::NotRun, |version| Outcome::Committed { version }))
+    }
+}
+
+fn accepted(version: u64, operation: Arc<str>) -> Accepted {
+    Accepted { version, operation, domains: domains() }
+}
+
+fn domains() -> Vec<Domain> {
+    vec![Domain { name: "d1".into(), installed: 1, vms: 1 }]
+}
+
+fn empty() -> Declaration {
+    Declaration {
+        deployment: settings::Deployment {
+            name: "".into(),
+            store_region: "".into(),
+            domain_delay: Millis::ZERO,
+            entries: 0,
+            regions: Vec::new(),
+            links: Vec::new(),
+            sites: Vec::new(),
+            services: Vec::new(),
+        },
+        presets: Vec::new(),
+        drains: Vec::new(),
+    }
+}
--- a/components/operator/src/lib.rs
+++ b/components/operator/src/lib.rs
@@ -5,7 +5,15 @@
 //! other learns who won. See docs/OPERATORS.md.
 
 mod api;
+mod client;
+pub mod fake;
+mod key;
+mod path;
+mod router;
 pub mod wire;
 
 pub use api::Api;
+pub use client::Client;
+pub use key::Key;
+pub use router::router;
 pub use wire::Refusal;
