--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -8,12 +8,14 @@
 mod core;
 mod download;
 mod entry;
+pub mod fake;
 mod fetch;
 mod gate;
 mod job;
 mod order;
 mod pool;
 mod reply;
+mod report;
 mod view;
 
 pub use config::Config;
