--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -5,7 +5,6 @@
 use crate::look_up::look_up;
 use crate::order::{self, Claimer, Origin, Owner};
 use crate::poll::Poller;
-use crate::report::Report;
 use crate::trace;
 use crate::view::View;
 use async_trait::async_trait;
@@ -21,7 +20,7 @@
 /// The data plane of one entry VM; clones are handles to the same one.
 #[derive(Clone)]
 pub struct Entry {
-    core: Arc<Core>,
+    pub(crate) core: Arc<Core>,
     poller: Arc<Poller>,
 }
 
@@ -49,11 +48,6 @@
         self.core.install(View::new(snapshot));
     }
 
-    /// What `controld` is told: the plan in force here, the demand, and what leaves.
-    pub fn report(&self) -> Report {
-        Report::new(&self.core)
-    }
-
     /// Shuts down: refuses new work as not run, finishes what is in flight, and ends.
     pub async fn close(self) {
         self.core.gate.leave();
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -27,4 +27,3 @@
 pub use config::Config;
 pub use entry::Entry;
 pub use order::{Id, Prefix};
-pub use report::Report;
--- a/components/entry/tests/drive/mod.rs
+++ b/components/entry/tests/drive/mod.rs
@@ -155,7 +155,7 @@
 // `o*` stands for every upstream of the service.
 fn servers(world: &World, name: &str) -> Vec<Arc<upstream::fake::Server>> {
     match name.strip_suffix('*') {
-        Some(first) => (1..=6).map(|number| world.server(&format!("{first}{number}"))).collect(),
+        Some(first) => (1..=12).map(|number| world.server(&format!("{first}{number}"))).collect(),
         None => vec![world.server(name)],
     }
 }
--- a/components/entry/tests/world/layout.rs
+++ b/components/entry/tests/world/layout.rs
@@ -7,7 +7,7 @@
 use upstream::fake::{Fleet, Server, Shape};
 
 const SIZE: Size = Size { vms: 3, sites: 3, blocks: 4 };
-const UPSTREAMS: u16 = 6;
+const UPSTREAMS: u16 = 12;
 
 pub fn snapshot() -> Snapshot {
     let mut snapshot = sample(SIZE);
--- a/components/entry/tests/world/mod.rs
+++ b/components/entry/tests/world/mod.rs
@@ -7,7 +7,7 @@
 pub use ask::Ask;
 pub use transcript::Transcript;
 
-use caller::Handler;
+use caller::{Handler, Method};
 use clock::{Clock, Millis};
 use entry::fake::{Mode, Process, Relays};
 use entry::{Config, Entry};
@@ -45,7 +45,7 @@
 }
 
 impl World {
-    /// Three entry VMs `e1` to `e3`, and six upstreams of each service.
+    /// Three entry VMs `e1` to `e3`, and twelve upstreams of each service.
     pub async fn new(poll: Millis) -> World {
         let clock = Clock::at(Millis::ZERO);
         let snapshot = layout::snapshot();
@@ -170,6 +170,9 @@
     /// Breaks the promise's invariants down into errors: no order twice, no refusal untrue.
     pub fn check(&self) -> Result<(), String> {
         let ran = self.fleet.ran();
+        if ran.iter().any(|run| run.method == Method::POST && run.order.is_empty()) {
+            return Err("an order ran without its id".into());
+        }
         let mut orders = BTreeMap::new();
         for run in ran.iter().filter(|run| !run.order.is_empty()) {
             *orders.entry(&run.order).or_insert(0) += 1;
