--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -7,6 +7,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::sync::Arc;
+use steering::State;
 use upstream::fake::Fault;
 use world::{Ask, World};
 
@@ -36,6 +37,8 @@
     Relays { cut: bool },
     LoseOutcomes,
     Upstream(Fault),
+    Down { upstream: u16, down: bool },
+    Listed { upstream: u16, state: State },
 }
 
 fn act() -> impl Strategy<Value = Act> {
@@ -54,6 +57,9 @@
         1 => any::<bool>().prop_map(|cut| Act::Relays { cut }),
         1 => Just(Act::LoseOutcomes),
         4 => upstream_fault().prop_map(Act::Upstream),
+        1 => (1..=12u16, any::<bool>()).prop_map(|(upstream, down)| Act::Down { upstream, down }),
+        1 => (1..=12u16, prop_oneof![Just(State::Leaving), Just(State::Live)])
+            .prop_map(|(upstream, state)| Act::Listed { upstream, state }),
     ]
 }
 
@@ -120,6 +126,8 @@
         Act::Relays { cut } => world.relays.set_cut(cut),
         Act::LoseOutcomes => world.relays.lose_outcomes(1),
         Act::Upstream(fault) => world.fleet.inject(fault),
+        Act::Down { upstream, down } => world.server(&format!("o{upstream}")).set_down(down),
+        Act::Listed { upstream, state } => world.set_upstream(&format!("o{upstream}"), state),
     }
 }
 
--- a/components/entry/tests/drive/mod.rs
+++ b/components/entry/tests/drive/mod.rs
@@ -4,6 +4,7 @@
 use clock::Millis;
 use entry::fake::Mode;
 use session::{Script, Step};
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::sync::Arc;
 use steering::State;
@@ -13,6 +14,9 @@
 const SETTLE: Millis = Millis::from_secs(60);
 const PATH: &str = "/place";
 
+/// Order prefixes by the name that a session gives them.
+type Prefixes = BTreeMap<String, Arc<str>>;
+
 pub fn run(script: &Script) -> Result<Vec<String>, Box<dyn Error>> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build()?;
@@ -21,9 +25,10 @@
 
 async fn play(script: &Script) -> Result<Vec<String>, Box<dyn Error>> {
     let mut world = World::new(POLL).await;
+    let mut prefixes = Prefixes::new();
     for step in &script.steps {
         world.clock.sleep_until(START + step.at).await;
-        take(&mut world, step)?;
+        take(&mut world, &mut prefixes, step)?;
     }
     world.clock.sleep(SETTLE).await;
     world.check()?;
@@ -45,14 +50,14 @@
     runs.iter().map(line).collect()
 }
 
-fn take(world: &mut World, step: &Step) -> Result<(), Box<dyn Error>> {
+fn take(world: &mut World, prefixes: &mut Prefixes, step: &Step) -> Result<(), Box<dyn Error>> {
     match step.verb.as_str() {
         "order" | "get" => {
-            let ask = ask(world, step)?;
+            let ask = ask(prefixes, step)?;
             world.ask(ask);
         }
         "gone" => world.callers[word(step)?].abort(),
-        "prefix" => prefix(world, step)?,
+        "prefix" => prefix(world, prefixes, step)?,
         "start" => world.start(word(step)?, number(step, "incarnation")?),
         "stop" => world.stop(word(step)?),
         "kill" => world.set(word(step)?, Mode::Killed),
@@ -67,7 +72,7 @@
     Ok(())
 }
 
-fn ask(world: &World, step: &Step) -> Result<Ask, Box<dyn Error>> {
+fn ask(prefixes: &Prefixes, step: &Step) -> Result<Ask, Box<dyn Error>> {
     let service = step.option("service").unwrap_or("orders");
     Ok(Ask {
         name: word(step)?.into(),
@@ -75,23 +80,23 @@
         service: service.into(),
         path: step.option("path").unwrap_or(PATH).into(),
         block: 0,
-        order: step.option("id").map(|id| order_id(world, id)),
+        order: step.option("id").map(|id| order_id(prefixes, id)),
         budget: step.option("budget").map(str::parse).transpose()?.map(Millis),
     })
 }
 
 // `name/rest` stands for the prefix that was kept as `name`, followed by `rest`.
-fn order_id(world: &World, id: &str) -> Arc<str> {
+fn order_id(prefixes: &Prefixes, id: &str) -> Arc<str> {
     match id.split_once('/') {
-        Some((name, rest)) => format!("{}~{rest}", world.prefixes[name]).into(),
+        Some((name, rest)) => format!("{}~{rest}", prefixes[name]).into(),
         None => id.into(),
     }
 }
 
-fn prefix(world: &mut World, step: &Step) -> Result<(), Box<dyn Error>> {
+fn prefix(world: &World, prefixes: &mut Prefixes, step: &Step) -> Result<(), Box<dyn Error>> {
     let via = step.option("via").ok_or("via is missing")?;
     let prefix = world.prefix(via)?;
-    world.prefixes.insert(word(step)?.into(), prefix);
+    prefixes.insert(word(step)?.into(), prefix);
     Ok(())
 }
 
--- a/components/entry/tests/world/mod.rs
+++ b/components/entry/tests/world/mod.rs
@@ -40,7 +40,6 @@
     pub nodes: BTreeMap<String, Node>,
     pub transcript: Transcript,
     pub callers: BTreeMap<String, JoinHandle<()>>,
-    pub prefixes: BTreeMap<String, Arc<str>>,
     snapshot: Snapshot,
 }
 
@@ -58,7 +57,6 @@
             nodes: BTreeMap::new(),
             transcript: Transcript::default(),
             callers: BTreeMap::new(),
-            prefixes: BTreeMap::new(),
             snapshot,
         };
         for name in ["e1", "e2", "e3"] {
--- a/components/steering/src/hedge.rs
+++ b/components/steering/src/hedge.rs
@@ -76,8 +76,10 @@
 
 impl Budget {
     /// A budget of `ratio` extra attempts for each first one.
+    ///
+    /// It starts full, so that a service with few requests isn't refused its first retries.
     pub fn new(ratio: f64) -> Budget {
-        Budget { ratio, tokens: 0.0 }
+        Budget { ratio, tokens: TOKENS_MAX }
     }
 
     /// Changes the ratio with the preset in force.
