--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,3 @@
+//! One file a subcommand.
+
+pub mod trial;
