--- a/components/control/src/config.rs
+++ b/components/control/src/config.rs
@@ -54,6 +54,9 @@
 /// How long a VM must be missing from the platform's list before it counts as gone.
 pub(crate) const GONE_AFTER: Millis = Millis(30_000);
 
+/// How long a VM must be missing that this node never saw in the list, which may just lag.
+pub(crate) const UNSEEN_GONE_AFTER: Millis = Millis(600_000);
+
 /// The least time between two polls of the platform by one node.
 pub(crate) const POLL_MIN: Millis = Millis(2000);
 
--- a/components/control/src/control.rs
+++ b/components/control/src/control.rs
@@ -73,6 +73,8 @@
     let runner = Arc::clone(&agent);
     tasks.spawn(async move { runner.publish_snapshots().await });
     let runner = Arc::clone(&agent);
+    tasks.spawn(async move { runner.report_load().await });
+    let runner = Arc::clone(&agent);
     tasks.spawn(async move { runner.plan().await });
     while tasks.join_next().await.is_some() {}
 }
--- /dev/null
+++ b/components/control/src/planner.rs
@@ -0,0 +1,142 @@
+use crate::Agent;
+use crate::state::{Installed, State};
+use crate::tenure::{Tenure, Written};
+use clock::Millis;
+use peer::local::Demand;
+use peer::message::{Load, Record};
+use rand::RngExt;
+use std::sync::Arc;
+use steering::planner::{Ack, Input, Report, next};
+use steering::{Plan, Stamp};
+
+/// Time between two looks at whether the plan has to change.
+const TICK: Millis = Millis(1000);
+
+/// Bytes a second that plans may cost each node.
+const PLAN_BYTES_PER_SECOND: u64 = 2000;
+
+/// Bytes of a plan for each of its members, encoded.
+const MEMBER_BYTES: u64 = 32;
+
+impl Agent {
+    /// Holds the planner's lease whenever nobody else does, and plans meanwhile.
+    pub(crate) async fn plan(&self) {
+        let mut tenure: Option<Tenure> = None;
+        loop {
+            let jitter = self.state().random.random_range(0..TICK.0 / 4);
+            self.config.clock.sleep(TICK + Millis(jitter)).await;
+            tenure = match tenure {
+                _ if !self.may_plan() => None,
+                Some(tenure) => self.serve(tenure).await,
+                None => self.take_over().await,
+            };
+        }
+    }
+
+    /// A VM that leaves, or that never read the platform's list, isn't fit to plan: it would take
+    /// the VMs that it doesn't know of for gone.
+    fn may_plan(&self) -> bool {
+        let state = self.state();
+        let live = state.roster.own().vm.state == steering::State::Live;
+        live && state.installed.is_some() && state.roster.has_listing()
+    }
+
+    /// One tick of the holder; returns `None` when it has lost the lease.
+    async fn serve(&self, mut tenure: Tenure) -> Option<Tenure> {
+        let written = match self.next_plan(&tenure) {
+            Some(plan) => self.commit_plan(&mut tenure, plan).await,
+            None => self.renew(&mut tenure).await,
+        };
+        if written == Written::Superseded {
+            log::warn!("lost the planner's lease of epoch {}", tenure.lease.value.epoch);
+            return None;
+        }
+        Some(tenure)
+    }
+
+    fn next_plan(&self, tenure: &Tenure) -> Option<Plan> {
+        let now = self.config.clock.now();
+        let mut state = self.state();
+        let installed = state.installed.clone()?;
+        let old = &tenure.plan.value;
+        if now - tenure.planned < plan_period(old) {
+            return None;
+        }
+        for member in &old.members {
+            state.roster.expect(&member.vm);
+        }
+        let reports = state.reports(&installed, old);
+        let presets = &installed.declaration.presets;
+        let preset = presets.iter().find(|preset| preset.name == installed.current.preset)?;
+        let input = Input {
+            version: installed.current.version,
+            deployment: &installed.declaration.deployment,
+            preset,
+            drains: &installed.current.drains,
+            reports: &reports,
+            epoch: tenure.lease.value.epoch,
+            now,
+            changed: tenure.planned,
+        };
+        next(old, &input)
+    }
+}
+
+/// The least time between two plans, so that their bytes stay within a node's budget.
+fn plan_period(plan: &Plan) -> Millis {
+    Millis(plan.members.len() as u64 * MEMBER_BYTES * 1000 / PLAN_BYTES_PER_SECOND)
+}
+
+impl State {
+    /// What the planner knows of each VM that isn't proved gone.
+    fn reports(&self, installed: &Installed, old: &Plan) -> Vec<Report> {
+        let records = self.roster.records();
+        let mut reports: Vec<Report> =
+            records.iter().filter_map(|record| self.report_of(record, installed)).collect();
+        let silent = old.members.iter().filter(|member| {
+            self.roster.get(&member.vm).is_none() && !self.roster.is_gone(&member.vm)
+        });
+        reports.extend(silent.map(|member| Report {
+            vm: Arc::clone(&member.vm),
+            region: member.region,
+            state: steering::State::Suspect,
+            ack: None,
+            demand: steering::planner::Demand::default(),
+        }));
+        reports.sort_by(|one, other| one.vm.cmp(&other.vm));
+        reports
+    }
+
+    fn report_of(&self, record: &Record, installed: &Installed) -> Option<Report> {
+        let regions = &installed.declaration.deployment.regions;
+        let at = regions.iter().position(|region| region.domains.contains(&record.vm.domain))?;
+        let load = self.loads.get(&record.vm.name);
+        Some(Report {
+            vm: Arc::clone(&record.vm.name),
+            region: at as u16,
+            state: record.vm.state,
+            ack: load.map(ack_of),
+            demand: load.map_or_else(Default::default, |load| {
+                split_demand(&load.demand, &regions[at].name)
+            }),
+        })
+    }
+}
+
+fn ack_of(load: &Load) -> Ack {
+    let stamp = Stamp { epoch: load.epoch, sequence: load.sequence };
+    Ack { stamp, shift: load.shift, settled: load.settled }
+}
+
+fn split_demand(demand: &[Demand], home: &str) -> steering::planner::Demand {
+    let mut split = steering::planner::Demand::default();
+    for part in demand {
+        let rate = part.rate.round() as u32;
+        if *part.region == *home {
+            split.home = split.home.saturating_add(rate);
+        } else {
+            split.away = split.away.saturating_add(rate);
+        }
+    }
+    split
+}
--- a/components/control/src/roster.rs
+++ b/components/control/src/roster.rs
@@ -1,4 +1,4 @@
-use crate::config::{GONE_AFTER, NOTICE_HOLD, NOTICE_REFRESH};
+use crate::config::{GONE_AFTER, NOTICE_HOLD, NOTICE_REFRESH, UNSEEN_GONE_AFTER};
 use crate::gossip::Queue;
 use clock::Millis;
 use peer::message::{MAX_NOTICES, MAX_RECORDS, Notice, Record};
@@ -20,7 +20,10 @@
     notices: BTreeMap<Arc<str>, Millis>,
     /// Since when a VM that was listed is missing from the platform's list.
     missing: BTreeMap<Arc<str>, Millis>,
+    /// VMs that this node has seen in the platform's list.
     listed: BTreeSet<Arc<str>>,
+    /// VMs that it has only heard of from the plan.
+    expected: BTreeSet<Arc<str>>,
     gone: BTreeSet<Arc<str>>,
     fresh_records: Queue,
     fresh_notices: Queue,
@@ -36,6 +39,7 @@
             notices: BTreeMap::new(),
             missing: BTreeMap::new(),
             listed: BTreeSet::new(),
+            expected: BTreeSet::new(),
             gone: BTreeSet::new(),
             fresh_records: Queue::default(),
             fresh_notices: Queue::default(),
@@ -136,6 +140,7 @@
 
     fn list_entry(&mut self, machine: &Machine) -> bool {
         self.listed.insert(Arc::clone(&machine.name));
+        self.expected.remove(&machine.name);
         self.gone.remove(&machine.name);
         let Role::Entry { caller, relay, peer } = machine.role else { return false };
         let mut record = match self.records.get(&machine.name) {
@@ -176,19 +181,40 @@
         changed
     }
 
-    /// Forgets VMs that were listed and are missing for long enough.
+    /// Whether the platform's list was ever read.
+    pub fn has_listing(&self) -> bool {
+        !self.listed.is_empty()
+    }
+
+    /// Whether the platform's list has shown for long enough that a VM is gone for good.
+    pub fn is_gone(&self, name: &str) -> bool {
+        self.gone.contains(name)
+    }
+
+    /// Watches the platform's list for a VM that this node never saw itself.
+    pub fn expect(&mut self, name: &Arc<str>) {
+        if !self.gone.contains(name) && !self.listed.contains(name) {
+            self.expected.insert(Arc::clone(name));
+        }
+    }
+
+    /// Forgets VMs that don't answer and are missing from the list for long enough.
     fn forget_missing(&mut self, present: &BTreeSet<Arc<str>>, now: Millis) -> bool {
         let mut changed = false;
         self.missing.retain(|name, _| !present.contains(name));
-        for name in self.listed.clone() {
+        let watched: Vec<Arc<str>> = self.listed.union(&self.expected).cloned().collect();
+        for name in watched {
             if present.contains(&name) || name == self.own.vm.name {
                 continue;
             }
             let since = *self.missing.entry(Arc::clone(&name)).or_insert(now);
-            if now - since >= GONE_AFTER {
+            let after = if self.listed.contains(&name) { GONE_AFTER } else { UNSEEN_GONE_AFTER };
+            let answers = self.records.get(&name).is_some_and(|record| answers(&record.vm));
+            if now - since >= after && !answers {
+                changed |= self.records.remove(&name).is_some();
                 self.listed.remove(&name);
+                self.expected.remove(&name);
                 self.missing.remove(&name);
-                changed |= self.records.remove(&name).is_some();
                 self.gone.insert(name);
             }
         }
@@ -292,6 +318,10 @@
     }
 }
 
+fn answers(vm: &Vm) -> bool {
+    vm.state != State::Suspect
+}
+
 fn list_upstream(machine: &Machine, service: &Arc<str>, address: SocketAddr) -> Upstream {
     Upstream {
         name: Arc::clone(&machine.name),
--- a/components/control/tests/fleet/mod.rs
+++ b/components/control/tests/fleet/mod.rs
@@ -68,12 +68,15 @@
             "apply" | "preset" | "drain" | "cancel" | "outcome" => self.operate(step)?,
             "fault" => self.cluster.platform.inject(fault(step)?),
             "mend" => self.cluster.platform.mend(),
-            "kill" => self.kill(step)?,
+            "kill" => self.kill(vm(step)?),
             "start" => self.cluster.start(vm(step)?),
             "remove" => self.cluster.platform.remove(&steering::sample::vm(vm(step)?).name),
             "restart-agent" => self.cluster.restart_agent(vm(step)?),
             "freeze" => self.cluster.freeze(vm(step)?),
             "thaw" => self.cluster.thaw(vm(step)?),
+            "kill-planner" => self.kill(self.planner()?),
+            "freeze-planner" => self.freeze_planner()?,
+            "thaw-all" => self.cluster.running().iter().for_each(|vm| self.cluster.thaw(*vm)),
             "close" => self.cluster.close(vm(step)?).await,
             "cut" => self.cut(step)?,
             "heal" => self.cluster.network.heal(),
@@ -91,15 +94,29 @@
     }
 
     /// Kills a VM and the operators' acts that it was carrying out.
-    fn kill(&mut self, step: &Step) -> Result<()> {
-        let vm = vm(step)?;
+    fn kill(&mut self, vm: usize) {
+        self.log.line(&format!("# VM {vm} is killed"));
         self.cluster.kill(vm);
         for (_, act) in self.operators.iter().filter(|(at, _)| *at == vm) {
             act.abort();
         }
+    }
+
+    fn freeze_planner(&self) -> Result<()> {
+        let vm = self.planner()?;
+        self.log.line(&format!("# VM {vm} is frozen"));
+        self.cluster.freeze(vm);
         Ok(())
     }
 
+    /// The VM that the lease's row names.
+    fn planner(&self) -> Result<usize> {
+        let row = self.cluster.platform.row("planner").ok_or("there is no planner")?;
+        let lease: control::Lease = rmp_serde::from_slice(&row.value)?;
+        let holds = |vm: &usize| steering::sample::vm(*vm).name == lease.holder;
+        Ok(self.cluster.running().into_iter().find(holds).ok_or("the planner isn't running")?)
+    }
+
     fn cut(&self, step: &Step) -> Result<()> {
         if let Some(region) = step.option("region") {
             let region: u16 = region.parse()?;
--- a/components/control/tests/sessions.rs
+++ b/components/control/tests/sessions.rs
@@ -15,4 +15,5 @@
 
 datatest_stable::harness! {
     { test = run, root = "../../tests/sessions/configuration", pattern = r".*\.session$" },
+    { test = run, root = "../../tests/sessions/shift-cap", pattern = r"control-.*\.session$" },
 }
