Give the shift cap shares of its own

A share of a region's cap is no measure of what a VM has to move: the VMs that move traffic are those of the old region, whose part of the new region's cap was 0.6%, so a cap of 100 requests a second gave them none at all. Members now hold a third share, by the traffic each still has to move, above an equal floor.

--- a/components/steering/src/admission.rs
+++ b/components/steering/src/admission.rs
@@ -14,6 +14,11 @@
 
 const SECOND: Millis = Millis::from_secs(1);
 
+/// The part of a region's window that moved requests may fill, so that those served there already
+/// aren't refused because of them.
+const MOVED_PART: u32 = 4;
+const MOVED_WHOLE: u32 = 5;
+
 /// The weight of the last second in the smoothed demand.
 const SMOOTHING: f64 = 0.25;
 
@@ -54,7 +59,7 @@
     Serving,
     /// A shift moves it there, under the shift cap.
     Moved,
-    /// A shift is to move it away, but its new region's cap or shift cap is reached.
+    /// A shift is to move it away, but its turn hasn't come or its new region's cap is reached.
     Waiting,
 }
 
@@ -62,10 +67,16 @@
 #[derive(Debug, Default)]
 struct Meter {
     second: Millis,
-    home: u32,
-    away: u32,
-    home_rate: f64,
-    away_rate: f64,
+    home: Rate,
+    away: Rate,
+    moving: Rate,
+}
+
+/// A count in the current second and its smoothed rate.
+#[derive(Debug, Default)]
+struct Rate {
+    count: u32,
+    smoothed: f64,
 }
 
 impl Admission {
@@ -141,8 +152,13 @@
             return Err(Error::new(Kind::NotReady, "the node has just started"));
         }
         self.shift.seen(now);
-        match self.shift.route(home, block, draw) {
+        let route = self.shift.route(home, block, draw);
+        if matches!(route, Route::Move { .. } | Route::Wait(_) | Route::Held) {
+            self.meter.moving.count += 1;
+        }
+        match route {
             Route::Stay(region) => self.send(region, Reason::Serving, now),
+            Route::Wait(region) => self.send(region, Reason::Waiting, now),
             Route::Move { to, old } => self.move_to(to, old, now),
             Route::Held => Err(Error::new(Kind::ShiftCapped, "its region is lost")),
             Route::Lost => Err(Error::new(Kind::NoUpstream, "every region is lost")),
@@ -162,22 +178,27 @@
     /// What the node tells the planner of its callers' demand.
     pub fn demand(&self) -> Demand {
         Demand {
-            home: self.meter.home_rate.ceil() as u32,
-            away: self.meter.away_rate.ceil() as u32,
+            home: self.meter.home.smoothed.ceil() as u32,
+            away: self.meter.away.smoothed.ceil() as u32,
+            moving: self.meter.moving.smoothed.ceil() as u32,
         }
     }
 
     fn move_to(&mut self, to: u16, old: Option<u16>, now: Millis) -> Result<Admitted, Error> {
         let gate = &mut self.gates[usize::from(to)];
-        let admitted = gate.shift.check(now).is_ok() && gate.requests.check(now).is_ok();
+        let room = gate.requests.cap() / MOVED_WHOLE * MOVED_PART;
+        let fits = gate.requests.used(now) < room;
+        let admitted = fits && gate.shift.admit(now).is_ok();
         self.shift.attempt(to, admitted, now);
-        if !admitted {
-            let old = old.ok_or_else(|| shift_capped(&gate.name))?;
-            return self.send(old, Reason::Waiting, now);
+        if admitted {
+            return self.send(to, Reason::Moved, now);
+        }
+        let capped = shift_capped(&gate.name);
+        self.meter.count(Some(to) == self.region);
+        match old {
+            Some(old) => self.send(old, Reason::Waiting, now),
+            None => Err(capped),
         }
-        let sent = self.send(to, Reason::Moved, now)?;
-        self.gates[usize::from(to)].shift.admit(now).map_err(|_| shift_capped("the region"))?;
-        Ok(sent)
     }
 
     fn send(&mut self, region: u16, reason: Reason, now: Millis) -> Result<Admitted, Error> {
@@ -216,22 +237,28 @@
 impl Meter {
     fn count(&mut self, home: bool) {
         match home {
-            true => self.home += 1,
-            false => self.away += 1,
+            true => self.home.count += 1,
+            false => self.away.count += 1,
         }
     }
 
     fn advance(&mut self, now: Millis) {
         while now - self.second >= SECOND {
             self.second = self.second + SECOND;
-            self.home_rate += SMOOTHING * (f64::from(self.home) - self.home_rate);
-            self.away_rate += SMOOTHING * (f64::from(self.away) - self.away_rate);
-            self.home = 0;
-            self.away = 0;
+            self.home.end_second();
+            self.away.end_second();
+            self.moving.end_second();
         }
     }
 }
 
+impl Rate {
+    fn end_second(&mut self) {
+        self.smoothed += SMOOTHING * (f64::from(self.count) - self.smoothed);
+        self.count = 0;
+    }
+}
+
 fn shift_capped(region: &str) -> Error {
     Error::new(Kind::ShiftCapped, format!("the shift cap into {region} is reached"))
 }
--- a/components/steering/src/allot.rs
+++ b/components/steering/src/allot.rs
@@ -27,9 +27,10 @@
     eligible: bool,
     home: Part,
     away: Part,
+    shift: Part,
 }
 
-/// One of the two shares of a claim.
+/// One of the three shares of a claim.
 #[derive(Clone, Copy, Debug, Default)]
 struct Part {
     /// The share in the plan in force.
@@ -42,7 +43,7 @@
 
 impl Part {
     fn of(units: Units, acknowledged: bool) -> Part {
-        let base = if acknowledged { units.share } else { units.held };
+        let base = if acknowledged { units.share } else { units.held() };
         Part { share: units.share, base, target: 0 }
     }
 
@@ -57,7 +58,7 @@
 
     fn grown(&self, grant: u32) -> Units {
         let share = self.target.min(self.base + grant);
-        Units { share, held: self.base.max(share) }
+        Units { share, extra: self.base.saturating_sub(share) }
     }
 }
 
@@ -67,7 +68,9 @@
     set_targets(&mut claims, regions);
     let gone = old.members.iter().any(|member| !claims.iter().any(|claim| claim.vm == member.vm));
     let moved = |claim: &Claim| old.member(&claim.vm).is_some_and(|old| old.region != claim.region);
-    let off = |claim: &Claim| claim.home.is_off() || claim.away.is_off() || moved(claim);
+    let off = |claim: &Claim| {
+        claim.home.is_off() || claim.away.is_off() || claim.shift.is_off() || moved(claim)
+    };
     if !gone && !claims.iter().any(off) {
         return None;
     }
@@ -86,6 +89,7 @@
     let acknowledged = report.ack.is_some_and(|ack| ack.stamp >= old.stamp());
     let home = member.map_or(Units::default(), |member| member.home);
     let away = member.map_or(Units::default(), |member| member.away);
+    let shift = member.map_or(Units::default(), |member| member.shift);
     let mut claim = Claim {
         vm: Arc::clone(&report.vm),
         region: report.region,
@@ -93,6 +97,7 @@
         eligible: report.state != State::Leaving,
         home: Part::of(home, acknowledged),
         away: Part::of(away, acknowledged),
+        shift: Part::of(shift, acknowledged),
     };
     if member.is_some_and(|member| member.region != report.region) {
         let most = claim.home.base.max(claim.away.base);
@@ -112,6 +117,25 @@
     for (claim, target) in claims.iter_mut().zip(home) {
         claim.home.target = target;
     }
+    let shift: Vec<u32> = claims.iter().map(|claim| shift_target(claims, claim)).collect();
+    for (claim, target) in claims.iter_mut().zip(shift) {
+        claim.shift.target = target;
+    }
+}
+
+/// What a claim may have of the shift cap into each region: the VMs that have most to move get
+/// most, above an equal floor.
+fn shift_target(claims: &[Claim], claim: &Claim) -> u32 {
+    if !claim.eligible {
+        return 0;
+    }
+    let eligible = claims.iter().filter(|claim| claim.eligible);
+    let count = eligible.clone().count() as u32;
+    let moving: u64 = eligible.map(|claim| u64::from(claim.demand.moving)).sum();
+    if moving == 0 {
+        return WHOLE / count;
+    }
+    FLOOR / count + proportion(WHOLE - FLOOR, claim.demand.moving, moving)
 }
 
 /// What a claim may have of every region but its own: the least over those regions.
@@ -167,7 +191,12 @@
 
 /// Shares out what no VM holds, in proportion to what each still wants.
 fn grant(claims: &[Claim], regions: usize) -> Vec<Member> {
-    let pools: Vec<Pool> = (0..regions as u16).map(|region| Pool::new(claims, region)).collect();
+    let pool = |region| {
+        let part = |claim: &Claim| if claim.region == region { claim.home } else { claim.away };
+        Pool::new(claims.iter().map(part))
+    };
+    let pools: Vec<Pool> = (0..regions as u16).map(pool).collect();
+    let shifts = Pool::new(claims.iter().map(|claim| claim.shift));
     let member = |claim: &Claim| {
         let here = pools.get(usize::from(claim.region));
         let home = here.map_or(0, |pool| pool.grant(claim.home.want()));
@@ -178,26 +207,29 @@
             region: claim.region,
             home: claim.home.grown(home),
             away: claim.away.grown(away),
+            shift: claim.shift.grown(shifts.grant(claim.shift.want())),
         }
     };
     claims.iter().map(member).filter(|member| !is_empty(member)).collect()
 }
 
 fn is_empty(member: &Member) -> bool {
-    member.home.held == 0 && member.away.held == 0
+    [member.home, member.away, member.shift].iter().all(|units| units.held() == 0)
 }
 
-/// What is free of one region's cap and how much of it is wanted.
+/// What is free of one cap and how much of it is wanted.
 struct Pool {
     free: u32,
     wanted: u64,
 }
 
 impl Pool {
-    fn new(claims: &[Claim], region: u16) -> Pool {
-        let part = |claim: &Claim| if claim.region == region { claim.home } else { claim.away };
-        let held: u64 = claims.iter().map(|claim| u64::from(part(claim).base)).sum();
-        let wanted = claims.iter().map(|claim| u64::from(part(claim).want())).sum();
+    fn new<Parts>(parts: Parts) -> Pool
+    where
+        Parts: Iterator<Item = Part> + Clone,
+    {
+        let held: u64 = parts.clone().map(|part| u64::from(part.base)).sum();
+        let wanted = parts.map(|part| u64::from(part.want())).sum();
         Pool { free: u64::from(WHOLE).saturating_sub(held) as u32, wanted }
     }
 
--- a/components/steering/src/plan.rs
+++ b/components/steering/src/plan.rs
@@ -53,6 +53,8 @@
     pub home: Units,
     /// Its part of every other region's caps.
     pub away: Units,
+    /// Its part of the shift cap into each region.
+    pub shift: Units,
 }
 
 /// A share of a cap, in units of [`WHOLE`].
@@ -60,8 +62,8 @@
 pub struct Units {
     /// What the VM may use once it holds this plan.
     pub share: u32,
-    /// The most that the VM may still believe it holds, until it acknowledges this plan.
-    pub held: u32,
+    /// How much more the VM may still believe it holds, until it acknowledges this plan.
+    pub extra: u32,
 }
 
 /// A run of positions and where they are served.
@@ -114,8 +116,13 @@
 }
 
 impl Units {
-    /// A share of which nothing more is held.
+    /// A share that the VM has acknowledged, or of which it never held more.
     pub const fn even(share: u32) -> Units {
-        Units { share, held: share }
+        Units { share, extra: 0 }
+    }
+
+    /// The most that the VM may use, whatever plan it holds.
+    pub const fn held(self) -> u32 {
+        self.share + self.extra
     }
 }
--- a/components/steering/src/planner.rs
+++ b/components/steering/src/planner.rs
@@ -82,6 +82,8 @@
     pub home: u32,
     /// Those served in any other region.
     pub away: u32,
+    /// Those that a shift is still to move.
+    pub moving: u32,
 }
 
 /// The plan that is to follow `old`, or `None` if nothing has to change.
@@ -113,8 +115,9 @@
         let ack = report.and_then(|report| report.ack);
         let mut member = member.clone();
         if ack.is_some_and(|ack| ack.stamp >= old.stamp()) {
-            member.home.held = member.home.share;
-            member.away.held = member.away.share;
+            member.home.extra = 0;
+            member.away.extra = 0;
+            member.shift.extra = 0;
         }
         member
     };
--- a/components/steering/src/sample.rs
+++ b/components/steering/src/sample.rs
@@ -114,6 +114,7 @@
         region: region_of_vm(number),
         home: Units::even(each),
         away: Units::even(each),
+        shift: Units::even(each),
     };
     let split = Split::nearest(regions.len());
     Plan {
--- a/components/steering/src/share.rs
+++ b/components/steering/src/share.rs
@@ -111,7 +111,7 @@
     let units = if at_home { member.home.share } else { member.away.share };
     RegionLimit {
         requests: part(region_cap(caps, region, now), units),
-        shift: part(caps.preset.shift_cap, units),
+        shift: part(caps.preset.shift_cap, member.shift.share),
     }
 }
 
--- a/components/steering/src/shift.rs
+++ b/components/steering/src/shift.rs
@@ -52,6 +52,8 @@
         /// The region that serves it until then; `None` if it is lost.
         old: Option<u16>,
     },
+    /// To the region that serves it until its turn to move comes.
+    Wait(u16),
     /// Nowhere yet: the region that served the position is lost and its turn to move hasn't come.
     Held,
     /// Nowhere: every region is lost.
@@ -144,16 +146,17 @@
             return Route::Stay(new);
         }
         match self.old(at, home, block) {
-            Some(old) if old == new || at >= self.progress => Route::Stay(old),
+            Some(old) if old == new => Route::Stay(old),
             old if at < self.progress => Route::Move { to: new, old },
-            _ => Route::Held,
+            Some(old) => Route::Wait(old),
+            None => Route::Held,
         }
     }
 
     /// The region in which look-ups name entry VMs for `block`.
     pub fn serving(&self, home: u16, block: u32) -> u16 {
         match self.route(home, block, 0) {
-            Route::Stay(region) => region,
+            Route::Stay(region) | Route::Wait(region) => region,
             Route::Move { to, old } => old.unwrap_or(to),
             Route::Held | Route::Lost => self.target.region(home, block).unwrap_or(home),
         }
--- a/components/steering/tests/planner.rs
+++ b/components/steering/tests/planner.rs
@@ -112,10 +112,18 @@
         self.nodes.iter().filter(|node| node.alive).map(share).sum()
     }
 
+    fn shifts(&self) -> u64 {
+        let share = |node: &Node| {
+            let member = node.plan.member(&node.report.vm);
+            member.map_or(0, |member| u64::from(member.shift.share))
+        };
+        self.nodes.iter().filter(|node| node.alive).map(share).sum()
+    }
+
     fn held(&self, region: u16) -> u64 {
         let members = self.plan.members.iter();
         let units = members.map(|m| if m.region == region { m.home } else { m.away });
-        units.map(|units| u64::from(units.held)).sum()
+        units.map(|units| u64::from(units.held())).sum()
     }
 }
 
@@ -130,7 +138,15 @@
     Unlist(usize),
     Leave(usize),
     Silent(usize),
-    Ask(usize, u32, u32),
+    Ask(usize, Demand),
+}
+
+fn demand() -> impl Strategy<Value = Demand> {
+    (0u32..1000, 0u32..500, 0u32..500).prop_map(|(home, away, moving)| Demand {
+        home,
+        away,
+        moving,
+    })
 }
 
 fn act() -> impl Strategy<Value = Act> {
@@ -144,7 +160,7 @@
         2 => any::<usize>().prop_map(Act::Unlist),
         1 => any::<usize>().prop_map(Act::Leave),
         1 => any::<usize>().prop_map(Act::Silent),
-        4 => (any::<usize>(), 0u32..1000, 0u32..500).prop_map(|(at, home, away)| Act::Ask(at, home, away)),
+        4 => (any::<usize>(), demand()).prop_map(|(at, demand)| Act::Ask(at, demand)),
     ]
 }
 
@@ -164,9 +180,7 @@
         }
         Act::Leave(number) => world.nodes[at(number)].report.state = State::Leaving,
         Act::Silent(number) => world.nodes[at(number)].report.state = State::Suspect,
-        Act::Ask(number, home, away) => {
-            world.nodes[at(number)].report.demand = Demand { home, away }
-        }
+        Act::Ask(number, demand) => world.nodes[at(number)].report.demand = demand,
         Act::Deliver(_) | Act::Hear(_) | Act::Unlist(_) => {}
     }
 }
@@ -183,6 +197,7 @@
         let mut world = World::new(9);
         for act in acts {
             apply(&mut world, act);
+            prop_assert!(world.shifts() <= u64::from(WHOLE), "shift shares");
             for region in 0..REGIONS {
                 prop_assert!(world.used(region) <= u64::from(WHOLE), "used in {region}");
                 prop_assert!(world.held(region) <= u64::from(WHOLE), "held in {region}");
@@ -195,7 +210,7 @@
 fn shares_follow_demand_and_admit_nine_tenths_of_one_counter() {
     let mut world = World::new(9);
     for (at, node) in world.nodes.iter_mut().enumerate() {
-        node.report.demand = Demand { home: if at == 0 { 540 } else { 180 }, away: 0 };
+        node.report.demand = Demand { home: if at == 0 { 540 } else { 180 }, away: 0, moving: 0 };
     }
     world.settle();
     let caps = Caps { deployment: &world.deployment, preset: &world.preset, drains: &world.drains };
@@ -227,12 +242,12 @@
 fn a_silent_vm_keeps_its_share_and_one_off_the_list_frees_it() {
     let mut world = World::new(9);
     world.settle();
-    let held = world.plan.member("vm-0000").unwrap().home.held;
+    let held = world.plan.member("vm-0000").unwrap().home.held();
     world.nodes[0].report.state = State::Suspect;
     world.nodes[0].report.ack = None;
-    world.nodes[3].report.demand = Demand { home: 900, away: 0 };
+    world.nodes[3].report.demand = Demand { home: 900, away: 0, moving: 0 };
     world.replan();
-    assert_eq!(world.plan.member("vm-0000").unwrap().home.held, held);
+    assert_eq!(world.plan.member("vm-0000").unwrap().home.held(), held);
     world.nodes.remove(0);
     world.settle();
     assert!(world.plan.member("vm-0000").is_none());
@@ -243,7 +258,7 @@
 fn a_region_drain_moves_the_weights_before_it_starts_and_back_after_it() {
     let mut world = World::new(9);
     for node in &mut world.nodes {
-        node.report.demand = Demand { home: 100, away: 0 };
+        node.report.demand = Demand { home: 100, away: 0, moving: 0 };
     }
     world.settle();
     let start = world.now + Millis::from_secs(600);
@@ -289,7 +304,8 @@
     let mut world = World::new(700);
     world.plan = Arc::new(snapshot.plan);
     for (at, node) in world.nodes.iter_mut().enumerate() {
-        node.report.demand = Demand { home: 100 + at as u32 % 300, away: at as u32 % 50 };
+        node.report.demand =
+            Demand { home: 100 + at as u32 % 300, away: at as u32 % 50, moving: at as u32 % 70 };
     }
     world.replan();
     let bytes = rmp_serde::to_vec(&*world.plan).unwrap().len();
