--- a/components/steering/src/admission.rs
+++ b/components/steering/src/admission.rs
@@ -16,8 +16,8 @@
 
 /// The part of a region's window that moved requests may fill, so that those served there already
 /// aren't refused because of them.
-const MOVED_PART: u32 = 4;
-const MOVED_WHOLE: u32 = 5;
+const MOVED_PART: u32 = 9;
+const MOVED_WHOLE: u32 = 10;
 
 /// The weight of the last second in the smoothed demand.
 const SMOOTHING: f64 = 0.25;
@@ -186,7 +186,7 @@
 
     fn move_to(&mut self, to: u16, old: Option<u16>, now: Millis) -> Result<Admitted, Error> {
         let gate = &mut self.gates[usize::from(to)];
-        let room = gate.requests.cap() / MOVED_WHOLE * MOVED_PART;
+        let room = gate.requests.cap() * MOVED_PART / MOVED_WHOLE;
         let fits = gate.requests.used(now) < room;
         let admitted = fits && gate.shift.admit(now).is_ok();
         self.shift.attempt(to, admitted, now);
--- a/components/steering/src/allot.rs
+++ b/components/steering/src/allot.rs
@@ -93,7 +93,7 @@
     let mut claim = Claim {
         vm: Arc::clone(&report.vm),
         region: report.region,
-        demand: report.demand,
+        demand: report.demand.with_bursts(),
         eligible: report.state != State::Leaving,
         home: Part::of(home, acknowledged),
         away: Part::of(away, acknowledged),
--- a/components/steering/src/planner.rs
+++ b/components/steering/src/planner.rs
@@ -7,6 +7,7 @@
 use crate::weights::{split, weights};
 use crate::{Member, Plan, Segment, Split, Stamp, State, WHOLE};
 use clock::Millis;
+use serde::{Deserialize, Serialize};
 use settings::{Deployment, Drain, Preset};
 use std::sync::Arc;
 
@@ -25,6 +26,9 @@
 /// By how many times a shift before a drain may take longer than one under a full cap.
 const LEAD_FACTOR: u64 = 2;
 
+/// How many standard deviations of a second's requests a share has room for, beside its mean.
+const BURST_DEVIATIONS: u32 = 3;
+
 /// What the planner sees.
 #[derive(Clone, Copy, Debug)]
 pub struct Input<'a> {
@@ -65,7 +69,7 @@
 }
 
 /// A node's word on the plan that it holds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ack {
     /// The plan it holds; it will never again use an earlier one.
     pub stamp: Stamp,
@@ -76,7 +80,7 @@
 }
 
 /// Requests a second that a VM's callers ask for, admitted or not.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
     /// Those served in the VM's own region.
     pub home: u32,
@@ -86,6 +90,14 @@
     pub moving: u32,
 }
 
+impl Demand {
+    /// The demand with room for the bursts of requests that arrive independently.
+    pub(crate) fn with_bursts(self) -> Demand {
+        let room = |rate: u32| rate + BURST_DEVIATIONS * rate.isqrt();
+        Demand { home: room(self.home), away: room(self.away), moving: self.moving }
+    }
+}
+
 /// The plan that is to follow `old`, or `None` if nothing has to change.
 ///
 /// The caller commits it in a transaction that reads both the epoch and `old`, so that every plan
--- a/components/steering/src/sample.rs
+++ b/components/steering/src/sample.rs
@@ -108,7 +108,7 @@
 }
 
 fn plan(regions: Vec<Arc<str>>, vms: &[Vm]) -> Plan {
-    let each = WHOLE / vms.len() as u32;
+    let each = WHOLE / vms.len().max(1) as u32;
     let member = |(number, vm): (usize, &Vm)| Member {
         vm: Arc::clone(&vm.name),
         region: region_of_vm(number),
--- a/components/steering/src/shift.rs
+++ b/components/steering/src/shift.rs
@@ -14,10 +14,10 @@
 /// The fine position after the last.
 const END: u64 = (WHOLE as u64) << DRAW_BITS;
 
-/// The part of the limit that the next slab is meant to use, so that bursts fit too.
-const FILL: f64 = 0.7;
+/// The part of the limit that the slabs under way are meant to use, so that bursts fit too.
+const FILL: f64 = 0.8;
 
-/// The most by which a slab grows from one step to the next.
+/// The most by which the slabs under way grow from one step to the next.
 const GROWTH: f64 = 4.0;
 
 /// The most changes of target that may be mixed before a shift has to end.
@@ -26,15 +26,19 @@
 const SECOND: Millis = Millis::from_secs(1);
 
 /// What one node knows of its own traffic's shift.
+///
+/// Positions below `warm` have moved. Those from `warm` to `settled` have had a step to move, and
+/// those from `settled` to `progress` are having theirs; both are under the shift cap, because
+/// caches are still cold for the blocks that came late in their step.
 #[derive(Clone, Debug)]
 pub struct Shift {
     regions: Arc<[Arc<str>]>,
     base: Vec<Track>,
     target: Aim,
     wanted: Aim,
+    warm: u64,
     settled: u64,
     progress: u64,
-    slab: u64,
     step: Step,
     demand: Demand,
     limits: Vec<u32>,
@@ -124,9 +128,9 @@
             base: tick.plan.from.iter().map(track).collect(),
             wanted: target.clone(),
             target,
+            warm: settled,
             settled,
             progress: settled,
-            slab: 0,
             step: Step::new(tick.now, tick.regions.len()),
             demand: Demand::default(),
             limits: tick.limits.to_vec(),
@@ -142,7 +146,7 @@
         let Some(new) = self.target.region(home, block) else {
             return Route::Lost;
         };
-        if at < self.settled {
+        if at < self.warm {
             return Route::Stay(new);
         }
         match self.old(at, home, block) {
@@ -175,6 +179,9 @@
 
     /// Takes over a new plan or a change of the regions that are up, and ends steps.
     pub fn tick(&mut self, tick: &Tick<'_>) {
+        if self.base.is_empty() && !tick.plan.from.is_empty() {
+            *self = Shift { demand: self.demand.clone(), ..Shift::new(tick) };
+        }
         self.renumber(tick.regions);
         self.limits.clear();
         self.limits.extend_from_slice(tick.limits);
@@ -194,11 +201,11 @@
         if self.target.split != self.wanted.split {
             return 0;
         }
-        (self.settled >> DRAW_BITS) as u32
+        (self.warm >> DRAW_BITS) as u32
     }
 
     fn is_closed(&self) -> bool {
-        self.settled == self.progress
+        self.warm == self.progress
     }
 
     fn old(&self, at: u64, home: u16, block: u32) -> Option<u16> {
@@ -209,8 +216,8 @@
 
     /// Starts a shift to the wanted target from where this node serves its traffic now.
     fn rebase(&mut self, tick: &Tick<'_>) {
-        let mut base = vec![Track { until: self.settled, aim: self.target.clone() }];
-        base.extend(self.base.drain(..).filter(|track| track.until > self.settled));
+        let mut base = vec![Track { until: self.warm, aim: self.target.clone() }];
+        base.extend(self.base.drain(..).filter(|track| track.until > self.warm));
         base.retain(|track| track.until > 0);
         base.dedup_by(|later, earlier| {
             let same = later.aim == earlier.aim;
@@ -219,35 +226,51 @@
         });
         self.base = base;
         self.target = self.wanted.clone();
+        self.warm = 0;
         self.settled = 0;
         self.progress = 0;
         self.open(self.guess(), tick);
     }
 
+    /// Lets the slabs of the last step go on, or takes the newest one back by half if some of its
+    /// requests had to wait.
     fn end_step(&mut self, tick: &Tick<'_>) {
         if self.step.deferred {
-            let slab = (self.progress - self.settled) / 2;
-            self.open(slab, tick);
+            self.shrink();
+            self.step = Step::new(tick.now, tick.regions.len());
             return;
         }
+        let zone = self.progress - self.warm;
+        self.warm = self.settled;
         self.settled = self.progress;
-        if self.settled == END {
+        if self.warm == END {
             self.base = vec![Track { until: END, aim: self.target.clone() }];
         }
-        if self.wanted != self.target && self.base.len() < MAX_SEGMENTS {
+        let changed = self.wanted != self.target && self.base.len() < MAX_SEGMENTS;
+        if changed && self.is_closed() {
             self.rebase(tick);
             return;
         }
-        let slab = match self.step.peak {
+        let fitting = match self.step.peak {
             0.0 => self.guess(),
-            peak => (self.slab as f64 * (FILL / peak).min(GROWTH)) as u64,
+            peak => (zone as f64 * (FILL / peak).min(GROWTH)) as u64,
         };
+        let slab = if changed { 0 } else { fitting.saturating_sub(self.settled - self.warm) };
         self.open(slab, tick);
     }
 
+    fn shrink(&mut self) {
+        if self.progress > self.settled {
+            self.progress -= (self.progress - self.settled).div_ceil(2);
+        } else {
+            self.settled -= (self.settled - self.warm) / 2;
+            self.progress = self.settled;
+        }
+    }
+
     fn open(&mut self, slab: u64, tick: &Tick<'_>) {
-        self.slab = slab.max(1);
-        self.progress = (self.settled + self.slab).min(END);
+        let least = if self.is_closed() && self.wanted == self.target { 1 } else { 0 };
+        self.progress = (self.settled + slab.max(least)).min(END);
         self.step = Step::new(tick.now, tick.regions.len());
     }
 
