Bound what callers bring to a node that has moved their blocks already

Traffic in positions that this node has moved may now grow by no more than its part of the shift cap a step, whichever callers bring it; the rest goes to the old region or is refused.

--- a/components/steering/src/admission.rs
+++ b/components/steering/src/admission.rs
@@ -33,6 +33,14 @@
     gates: Vec<Gate>,
     ack: Ack,
     meter: Meter,
+    step: Step,
+}
+
+/// The step of growth under way.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    start: Millis,
+    generation: u64,
 }
 
 /// The windows of one region.
@@ -41,6 +49,17 @@
     name: Arc<str>,
     requests: Window,
     shift: Window,
+    moved: Growth,
+}
+
+/// How much traffic that a shift moved there the region's caches are warm for.
+///
+/// It grows by at most the node's part of the shift cap from one step to the next, whichever
+/// callers bring the traffic.
+#[derive(Debug)]
+struct Growth {
+    window: Window,
+    peak: u32,
 }
 
 /// A request that was let through.
@@ -95,8 +114,9 @@
         let ack = Ack::default();
         let meter = Meter { second: now, ..Meter::default() };
         let gates = Vec::new();
+        let step = Step { start: now, generation: 0 };
         let mut admission =
-            Admission { vm, domain, started: now, region: None, shift, gates, ack, meter };
+            Admission { vm, domain, started: now, region: None, shift, gates, ack, meter, step };
         admission.tick(index, Regions::NONE, now);
         admission
     }
@@ -122,6 +142,7 @@
             step: snapshot.preset.shift_step,
             now,
         });
+        self.grow(snapshot.preset.shift_step, now);
         let own = region_of(&snapshot.deployment, &self.domain);
         self.region = own.and_then(|region| index.region(&region.name));
         self.ack = Ack {
@@ -159,6 +180,7 @@
         match route {
             Route::Stay(region) => self.send(region, Reason::Serving, now),
             Route::Wait(region) => self.send(region, Reason::Waiting, now),
+            Route::Moved { to, old } => self.stay_moved(to, old, now),
             Route::Move { to, old } => self.move_to(to, old, now),
             Route::Held => Err(Error::new(Kind::ShiftCapped, "its region is lost")),
             Route::Lost => Err(Error::new(Kind::NoUpstream, "every region is lost")),
@@ -188,16 +210,41 @@
         let gate = &mut self.gates[usize::from(to)];
         let room = gate.requests.cap() * MOVED_PART / MOVED_WHOLE;
         let fits = gate.requests.used(now) < room;
-        let admitted = fits && gate.shift.admit(now).is_ok();
+        let admitted =
+            fits && gate.shift.check(now).is_ok() && gate.moved.window.admit(now).is_ok();
         self.shift.attempt(to, admitted, now);
-        if admitted {
-            return self.send(to, Reason::Moved, now);
+        if !admitted {
+            return self.send_back(to, old, now);
         }
-        let capped = shift_capped(&gate.name);
+        // Nothing came between the check and here, so the window still has room.
+        let _ = gate.shift.admit(now);
+        self.send(to, Reason::Moved, now)
+    }
+
+    fn stay_moved(&mut self, to: u16, old: Option<u16>, now: Millis) -> Result<Admitted, Error> {
+        match self.gates[usize::from(to)].moved.window.admit(now) {
+            Ok(()) => self.send(to, Reason::Serving, now),
+            Err(_) => self.send_back(to, old, now),
+        }
+    }
+
+    fn send_back(&mut self, to: u16, old: Option<u16>, now: Millis) -> Result<Admitted, Error> {
         self.meter.count(Some(to) == self.region);
         match old {
             Some(old) => self.send(old, Reason::Waiting, now),
-            None => Err(capped),
+            None => Err(shift_capped(&self.gates[usize::from(to)].name)),
+        }
+    }
+
+    /// Lets moved traffic grow by another part of the shift cap when a step has passed.
+    fn grow(&mut self, step: Millis, now: Millis) {
+        let restarted = self.step.generation != self.shift.generation();
+        let passed = now - self.step.start >= step;
+        for gate in &mut self.gates {
+            gate.moved.advance(gate.shift.cap(), passed, restarted, now);
+        }
+        if passed || restarted {
+            self.step = Step { start: now, generation: self.shift.generation() };
         }
     }
 
@@ -228,12 +275,23 @@
         match old.iter().position(|gate| gate.name == *name) {
             Some(at) => old.swap_remove(at),
             None => {
-                Gate { name: Arc::clone(name), requests: Window::new(0), shift: Window::new(0) }
+                let moved = Growth { window: Window::new(0), peak: 0 };
+                let (requests, shift) = (Window::new(0), Window::new(0));
+                Gate { name: Arc::clone(name), requests, shift, moved }
             }
         }
     }
 }
 
+impl Growth {
+    fn advance(&mut self, share: u32, passed: bool, restarted: bool, now: Millis) {
+        self.peak = if restarted { 0 } else { self.peak.max(self.window.used(now)) };
+        if passed || restarted {
+            self.window.set_cap(self.peak.saturating_add(share));
+        }
+    }
+}
+
 impl Meter {
     fn count(&mut self, home: bool) {
         match home {
--- a/components/steering/src/shift.rs
+++ b/components/steering/src/shift.rs
@@ -39,6 +39,7 @@
     warm: u64,
     settled: u64,
     progress: u64,
+    generation: u64,
     step: Step,
     demand: Demand,
     limits: Vec<u32>,
@@ -49,6 +50,15 @@
 pub enum Route {
     /// To a region that serves this position already.
     Stay(u16),
+    /// To `to`, where the position has moved; to `old` if more arrives than `to` is warm for.
+    ///
+    /// Callers that renew at another node bring it traffic that it hasn't moved itself.
+    Moved {
+        /// The region that serves the position.
+        to: u16,
+        /// The region that served it before the shift; `None` if it is lost.
+        old: Option<u16>,
+    },
     /// To `to` if the shift limiter admits it there; else to `old`, if that can still serve.
     Move {
         /// The region that is to serve the position.
@@ -131,6 +141,7 @@
             warm: settled,
             settled,
             progress: settled,
+            generation: 0,
             step: Step::new(tick.now, tick.regions.len()),
             demand: Demand::default(),
             limits: tick.limits.to_vec(),
@@ -146,11 +157,9 @@
         let Some(new) = self.target.region(home, block) else {
             return Route::Lost;
         };
-        if at < self.warm {
-            return Route::Stay(new);
-        }
         match self.old(at, home, block) {
             Some(old) if old == new => Route::Stay(old),
+            old if at < self.warm => Route::Moved { to: new, old },
             old if at < self.progress => Route::Move { to: new, old },
             Some(old) => Route::Wait(old),
             None => Route::Held,
@@ -161,6 +170,7 @@
     pub fn serving(&self, home: u16, block: u32) -> u16 {
         match self.route(home, block, 0) {
             Route::Stay(region) | Route::Wait(region) => region,
+            Route::Moved { to, .. } => to,
             Route::Move { to, old } => old.unwrap_or(to),
             Route::Held | Route::Lost => self.target.region(home, block).unwrap_or(home),
         }
@@ -180,7 +190,8 @@
     /// Takes over a new plan or a change of the regions that are up, and ends steps.
     pub fn tick(&mut self, tick: &Tick<'_>) {
         if self.base.is_empty() && !tick.plan.from.is_empty() {
-            *self = Shift { demand: self.demand.clone(), ..Shift::new(tick) };
+            let generation = self.generation + 1;
+            *self = Shift { demand: self.demand.clone(), generation, ..Shift::new(tick) };
         }
         self.renumber(tick.regions);
         self.limits.clear();
@@ -194,6 +205,23 @@
         if tick.now - self.step.start >= tick.step {
             self.end_step(tick);
         }
+        self.forget(tick.plan);
+    }
+
+    /// Forgets where traffic came from once every node has moved it.
+    ///
+    /// While a region is lost no node can know that of the others, so nothing is forgotten.
+    fn forget(&mut self, plan: &Plan) {
+        let ended = self.warm == END && self.wanted == self.target;
+        if ended && plan.is_settled() && self.target.lost == Regions::NONE {
+            self.base.clear();
+            self.base.push(Track { until: END, aim: self.target.clone() });
+        }
+    }
+
+    /// Rises whenever a shift starts at this node.
+    pub fn generation(&self) -> u64 {
+        self.generation
     }
 
     /// How much of the plan's shift this node has done, in units of [`WHOLE`].
@@ -226,6 +254,7 @@
         });
         self.base = base;
         self.target = self.wanted.clone();
+        self.generation += 1;
         self.warm = 0;
         self.settled = 0;
         self.progress = 0;
@@ -243,9 +272,6 @@
         let zone = self.progress - self.warm;
         self.warm = self.settled;
         self.settled = self.progress;
-        if self.warm == END {
-            self.base = vec![Track { until: END, aim: self.target.clone() }];
-        }
         let changed = self.wanted != self.target && self.base.len() < MAX_SEGMENTS;
         if changed && self.is_closed() {
             self.rebase(tick);
