--- a/components/bench/src/fake.rs
+++ b/components/bench/src/fake.rs
@@ -18,6 +18,11 @@
         Server { slots: slots as usize, running: Vec::new(), waiting: VecDeque::new(), slowness: 1 }
     }
 
+    /// Attempts that it runs at a time.
+    pub fn slots(&self) -> usize {
+        self.slots
+    }
+
     /// Takes an attempt; true if it runs at once.
     pub fn take(&mut self, attempt: usize) -> bool {
         if self.running.len() < self.slots {
--- a/components/bench/src/serving.rs
+++ b/components/bench/src/serving.rs
@@ -37,6 +37,9 @@
     LeastReported,
     /// The better of two by own requests in flight.
     TwoChoices,
+    /// One that sees every server and every request on the way: what no real policy can beat by
+    /// much, to tell a missed target from one that the machines can't meet.
+    Omniscient,
     /// Ours, without hedges.
     RankedAlone,
     /// Ours.
@@ -45,11 +48,12 @@
 
 impl Policy {
     /// The baselines and ours.
-    pub const ALL: [Policy; 6] = [
+    pub const ALL: [Policy; 7] = [
         Policy::Random,
         Policy::RoundRobin,
         Policy::LeastReported,
         Policy::TwoChoices,
+        Policy::Omniscient,
         Policy::RankedAlone,
         Policy::Ranked,
     ];
@@ -61,6 +65,7 @@
             Policy::RoundRobin => "round robin",
             Policy::LeastReported => "least reported",
             Policy::TwoChoices => "two choices",
+            Policy::Omniscient => "omniscient (bound)",
             Policy::RankedAlone => "ranked, no hedges",
             Policy::Ranked => "ranked (ours)",
         }
@@ -68,7 +73,7 @@
 
     fn choice(self) -> Box<dyn Choice> {
         match self {
-            Policy::Random => Box::new(Random),
+            Policy::Random | Policy::Omniscient => Box::new(Random),
             Policy::RoundRobin => Box::new(RoundRobin::default()),
             Policy::LeastReported => Box::new(LeastReported),
             Policy::TwoChoices => Box::new(TwoChoices),
@@ -194,6 +199,8 @@
     queue: Queue<Event>,
     arrivals: StdRng,
     draws: StdRng,
+    /// Requests sent to each server and not yet ended there.
+    assigned: Vec<u64>,
     slowed: Vec<usize>,
     vms: Vec<Vm>,
     servers: Vec<Server>,
@@ -242,6 +249,7 @@
             queue: Queue::new(),
             arrivals,
             draws: StdRng::seed_from_u64(seed ^ u64::MAX),
+            assigned: vec![0; snapshot.upstreams.len()],
             slowed,
             vms: snapshot.vms.iter().map(|entry| vm(&entry.name)).collect(),
             servers: snapshot.upstreams.iter().map(|_| Server::new(demand.scene.slots())).collect(),
@@ -346,7 +354,11 @@
         let vm = &mut self.vms[state.entry];
         let repeatable = self.policy == Policy::Ranked;
         let task = Task { class: state.class, repeatable, tried: state.tried.clone() };
-        let pick = vm.choice.choose(&mut vm.pool, &task, now, &mut self.draws)?;
+        let mut pick = vm.choice.choose(&mut vm.pool, &task, now, &mut self.draws)?;
+        if self.policy == Policy::Omniscient {
+            pick.index = best_server(&self.servers, &self.assigned, &vm.pool);
+        }
+        self.assigned[pick.index] += 1;
         let probe = pick.reason == Reason::Probe;
         let ticket = vm.pool.start(pick.index, state.class, probe, now);
         let attempt = self.attempts.len();
@@ -395,6 +407,7 @@
 
     fn end_at_server(&mut self, attempt: usize) {
         let server = self.attempts[attempt].server;
+        self.assigned[server] -= 1;
         if let Some(next) = self.servers[server].end(attempt) {
             self.run(next);
         }
@@ -488,6 +501,18 @@
     }
 }
 
+/// The server that is expected to answer first, with everything known but the requests' work.
+fn best_server(servers: &[Server], assigned: &[u64], pool: &Pool) -> usize {
+    let expected = |server: &usize| {
+        let round_trip = pool.members()[*server].round_trip.0 * 1000;
+        let slots = servers[*server].slots() as u64;
+        let ahead = (assigned[*server] + 1).saturating_sub(slots);
+        let service = SHORT_MEAN_US * servers[*server].slowness;
+        round_trip + service + service * ahead / slots
+    };
+    (0..servers.len()).min_by_key(expected).unwrap_or(0)
+}
+
 fn draw_slowed(demand: &Demand, servers: usize, rng: &mut StdRng) -> Vec<usize> {
     let wanted = demand.slowdown.map_or(0, |slowdown| slowdown.servers);
     let mut slowed = Vec::new();
--- a/components/steering/src/choice/member.rs
+++ b/components/steering/src/choice/member.rs
@@ -22,6 +22,10 @@
     pub state: State,
     /// The round trip to it from this entry VM.
     pub round_trip: Millis,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Entry VMs among which its slots are divided.
+    pub sharers: u32,
     /// The slots of it that this entry VM may use for short requests without sharing.
     pub own_slots: u32,
     /// Long requests that this entry VM may have in flight to it.
@@ -89,6 +93,8 @@
             name,
             state,
             round_trip: Millis::ZERO,
+            slots: 1,
+            sharers: 1,
             own_slots: 0,
             long_slots: 0,
             connections: u32::MAX,
--- a/components/steering/src/choice/pool.rs
+++ b/components/steering/src/choice/pool.rs
@@ -48,6 +48,8 @@
             }
             member.state = candidate.upstream.state;
             member.round_trip = candidate.round_trip;
+            member.slots = candidate.slots;
+            member.sharers = candidate.sharers;
             member.own_slots = candidate.own_slots;
             member.long_slots = candidate.long_slots;
             member.connections = candidate.connections;
--- a/components/steering/src/choice/ranked.rs
+++ b/components/steering/src/choice/ranked.rs
@@ -99,8 +99,12 @@
 }
 
 /// The expected time to an answer in milliseconds, from this entry VM's own observations.
+///
+/// Own slots are free of others' requests; what this entry VM sends beyond them stands for what
+/// the others send too, since all of them follow the same rule.
 fn cost(member: &Member, usual: f64, now: Millis) -> f64 {
     let service = member.service_time(now).unwrap_or(usual).max(1.0);
-    let ahead = f64::from(member.in_flight()) / f64::from(member.own_slots.max(1));
+    let borrowed = member.in_flight().saturating_sub(member.own_slots);
+    let ahead = f64::from(borrowed * member.sharers) / f64::from(member.slots.max(1));
     member.round_trip.0 as f64 + service * (1.0 + ahead) / member.ramp(now)
 }
--- a/components/steering/src/choice/roster.rs
+++ b/components/steering/src/choice/roster.rs
@@ -28,6 +28,10 @@
     pub upstream: crate::Upstream,
     /// The round trip from this entry VM.
     pub round_trip: Millis,
+    /// Requests that the upstream runs at a time.
+    pub slots: u32,
+    /// Entry VMs among which its slots are divided.
+    pub sharers: u32,
     /// The slots owned by this entry VM.
     pub own_slots: u32,
     /// Long requests that this entry VM may have in flight to it.
@@ -67,6 +71,8 @@
             .map(|upstream| Candidate {
                 upstream: upstream.clone(),
                 round_trip: round_trip(snapshot, &here, &upstream.domain),
+                slots: limits.slots,
+                sharers: sharers(snapshot, &entries, &upstream.domain),
                 own_slots: 0,
                 long_slots: 0,
                 connections: limits.connections,
@@ -129,6 +135,13 @@
     one_way + one_way
 }
 
+/// The entry VMs that divide the slots of an upstream in the failure domain `domain`.
+fn sharers(snapshot: &Snapshot, entries: &[Entry], domain: &str) -> u32 {
+    let region = region_name(snapshot, domain);
+    let near = entries.iter().filter(|entry| entry.region == region).count();
+    if near > 0 { near as u32 } else { entries.len() as u32 }
+}
+
 /// The slots that the entry VM `vm` owns of each candidate.
 ///
 /// The upstreams of a region belong to the entry VMs of that region; those of a region without
