--- /dev/null
+++ b/components/harness/src/node.rs
@@ -0,0 +1,141 @@
+use crate::error::SystemSnafu;
+use crate::{Binaries, Error, Process};
+use snafu::ResultExt;
+use std::fmt::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::{fs, process};
+
+/// The operators' key of every fleet.
+pub const KEY: &str = "harness-operator-key-0123456789abcdef";
+const PEER_KEY: &str = "harness-peer-key-0123456789abcdef0123";
+
+/// One entry VM: its settings and its two daemons.
+#[derive(Debug)]
+pub struct Node {
+    /// The VM's name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Its addresses.
+    pub listen: Listen,
+    /// Its `controld`, while it runs.
+    pub controld: Option<Process>,
+    /// Its `entryd`, while it runs.
+    pub entryd: Option<Process>,
+    platform: SocketAddr,
+    peers: Vec<SocketAddr>,
+    file: PathBuf,
+}
+
+/// The addresses of a node's listeners.
+#[derive(Clone, Copy, Debug)]
+pub struct Listen {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For relayed orders.
+    pub relay: SocketAddr,
+    /// For peers of `controld`.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+    /// For the hand-over between the two daemons.
+    pub local: SocketAddr,
+}
+
+impl Node {
+    /// A node whose files stand in `directory`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::System`] when no ports can be had.
+    pub fn new(
+        name: &str,
+        domain: &str,
+        platform: SocketAddr,
+        directory: &Path,
+    ) -> Result<Node, Error> {
+        Ok(Node {
+            name: name.into(),
+            domain: domain.into(),
+            listen: Listen::reserve()?,
+            controld: None,
+            entryd: None,
+            platform,
+            peers: Vec::new(),
+            file: directory.join(format!("{name}.ini")),
+        })
+    }
+
+    /// Names the peers that the node asks first.
+    pub fn set_peers(&mut self, peers: Vec<SocketAddr>) {
+        self.peers = peers;
+    }
+
+    /// Starts `controld`, or starts it again at the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] when it doesn't come up.
+    pub fn start_controld(&mut self, binaries: &Binaries) -> Result<(), Error> {
+        self.controld = Some(self.start(&binaries.controld, "controld")?);
+        Ok(())
+    }
+
+    /// Starts `entryd`, or starts it again at the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] when it doesn't come up.
+    pub fn start_entryd(&mut self, binaries: &Binaries) -> Result<(), Error> {
+        self.entryd = Some(self.start(&binaries.entryd, "entryd")?);
+        Ok(())
+    }
+
+    fn start(&self, program: &Path, role: &str) -> Result<Process, Error> {
+        let action = format!("write {}", self.file.display());
+        fs::write(&self.file, self.render()).context(SystemSnafu { action })?;
+        let file = self.file.to_string_lossy();
+        Process::start(&format!("{role} of {}", self.name), program, &[&file])
+    }
+
+    fn render(&self) -> String {
+        let mut text =
+            format!("[node]\nvm = {}\ndomain = {}\n\n[listen]\n", self.name, self.domain);
+        let Listen { caller, relay, peer, operator, local } = self.listen;
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "caller = {caller}\nrelay = {relay}\npeer = {peer}");
+        let _ = writeln!(text, "operator = {operator}\nlocal = {local}\n");
+        let _ = writeln!(text, "[platform]\naddresses = {}\n", self.platform);
+        let peers: Vec<String> = self.peers.iter().map(ToString::to_string).collect();
+        if !peers.is_empty() {
+            let _ = writeln!(text, "[peers]\naddresses = {}\n", peers.join(", "));
+        }
+        let _ = writeln!(text, "[keys]\noperator-key = {KEY}\npeer-key = {PEER_KEY}");
+        text
+    }
+}
+
+impl Listen {
+    /// Five free ports on a loopback address that only this process uses.
+    ///
+    /// Connections leave from 127.0.0.1, so they never take a port that is reserved here, even
+    /// while a daemon is dead.
+    fn reserve() -> Result<Listen, Error> {
+        let [_, _, high, low] = process::id().to_be_bytes();
+        let address = SocketAddr::from(([127, 64 | (high & 63), low, 1], 0));
+        let bind = || TcpListener::bind(address);
+        let sockets = [bind(), bind(), bind(), bind(), bind()];
+        let mut ports = Vec::new();
+        let mut held = Vec::new();
+        for socket in sockets {
+            let socket = socket.context(SystemSnafu { action: "reserve a port" })?;
+            ports.push(socket.local_addr().context(SystemSnafu { action: "read a port" })?);
+            held.push(socket);
+        }
+        let [caller, relay, peer, operator, local] = ports[..] else {
+            unreachable!("five sockets have five ports");
+        };
+        Ok(Listen { caller, relay, peer, operator, local })
+    }
+}
