Add the operators' command line

An act reads the version first and carries it, so the loser of a race is told who won. An unknown outcome names the operation and how to ask. Shared options may stand anywhere on the line.

--- a/components/operator/src/fake.rs
+++ b/components/operator/src/fake.rs
@@ -28,6 +28,7 @@
     current: Option<Current>,
     operations: BTreeMap<Arc<str>, u64>,
     lose_next: bool,
+    race: Option<Arc<str>>,
 }
 
 impl Control {
@@ -36,13 +37,9 @@
         self.held().lose_next = true;
     }
 
-    /// Lets another operator's act take effect first.
-    pub fn race(&self, operation: &str) {
-        let mut held = self.held();
-        let next = held.current.clone();
-        if let Some(current) = next {
-            held.commit(operation.into(), current.declaration, current.preset);
-        }
+    /// Lets another operator's act take effect between the next act's read and its commit.
+    pub fn race_next_act(&self, operation: &str) {
+        self.held().race = Some(operation.into());
     }
 
     fn held(&self) -> MutexGuard<'_, Held> {
@@ -62,6 +59,7 @@
         if let Some(version) = held.operations.get(&operation) {
             return Ok(accepted(*version, operation));
         }
+        held.run_race();
         let (mut declaration, mut preset) = match &held.current {
             Some(current) => (current.declaration.clone(), Arc::clone(&current.preset)),
             None => (empty(), ORDINARY.into()),
@@ -81,6 +79,12 @@
         self.current.as_ref().map_or(0, |current| current.version)
     }
 
+    fn run_race(&mut self) {
+        if let (Some(operation), Some(current)) = (self.race.take(), self.current.clone()) {
+            self.commit(operation, current.declaration, current.preset);
+        }
+    }
+
     fn expect(&self, expected: u64) -> Result<(), Refusal> {
         match &self.current {
             Some(current) if current.version != expected => Err(Refusal::conflict(Winner {
--- a/components/settings/src/change.rs
+++ b/components/settings/src/change.rs
@@ -1,9 +1,12 @@
 use crate::Declaration;
 use crate::write::{Section, sections};
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::fmt;
 
+const VALUE_CHARS: usize = 200;
+
 /// One difference between two declarations.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -29,13 +32,21 @@
             write!(f, " {}", self.key)?;
         }
         match (&self.before, &self.after) {
-            (Some(before), Some(after)) => write!(f, ": {before} -> {after}"),
-            (Some(value), None) | (None, Some(value)) => write!(f, ": {value}"),
+            (Some(before), Some(after)) => write!(f, ": {} -> {}", short(before), short(after)),
+            (Some(value), None) | (None, Some(value)) => write!(f, ": {}", short(value)),
             (None, None) => Ok(()),
         }
     }
 }
 
+/// The start of a value that is too long for a line, such as a site's many blocks.
+fn short(value: &str) -> Cow<'_, str> {
+    match value.char_indices().nth(VALUE_CHARS) {
+        Some((end, _)) => format!("{}... ({} bytes)", &value[..end], value.len()).into(),
+        None => value.into(),
+    }
+}
+
 /// What putting `new` in force in place of `old` would change, section by section.
 pub fn compare(old: &Declaration, new: &Declaration) -> Vec<Change> {
     let (old, new) = (sections(old), sections(new));
--- a/src/cmd/trial/load.rs
+++ b/src/cmd/trial/load.rs
@@ -1,8 +1,8 @@
 //! Callers that send the trial's requests.
 
+use super::Options;
 use super::summary::Summary;
 use super::world::{World, block_of};
-use super::Options;
 use caller::client::{Call, Client, Outcome};
 use caller::{Method, parse_block};
 use clock::Clock;
@@ -49,12 +49,7 @@
 }
 
 impl Worker {
-    fn new(
-        world: &World,
-        seed: u64,
-        requests: u64,
-        next: Arc<AtomicU64>,
-    ) -> Result<Worker, Error> {
+    fn new(world: &World, seed: u64, requests: u64, next: Arc<AtomicU64>) -> Result<Worker, Error> {
         let deployment = &world.declaration.deployment;
         let block = parse_block(&block_of(deployment, seed as u32)).unwrap_or_default();
         let mut seeds: Vec<SocketAddr> = world.callers();
--- a/src/cmd/trial/mod.rs
+++ b/src/cmd/trial/mod.rs
@@ -27,17 +27,14 @@
     /// seed of the callers' choices
     #[argh(option, default = "1")]
     seed: u64,
-    /// print the summary as JSON
-    #[argh(switch)]
-    json: bool,
 }
 
-/// Runs the command.
+/// Runs the command; the summary is printed as JSON when `json` is set.
 ///
 /// # Errors
 ///
 /// [`Kind::BadSettings`] when the declaration is invalid; the kind of whatever fails otherwise.
-pub async fn run(options: Options) -> Result<(), Error> {
+pub async fn run(options: Options, json: bool) -> Result<(), Error> {
     let source = settings::read(&options.dir).map_err(bad_settings)?;
     let declaration = settings::parse(&source).map_err(bad_settings)?;
     let clock = Clock::system();
@@ -45,7 +42,7 @@
     match options.requests {
         Some(requests) => {
             let summary = load::send(&world, &options, requests).await?;
-            print(&summary, options.json);
+            print(&summary, json);
         }
         None => serve(&world, clock).await?,
     }
--- a/src/cmd/trial/summary.rs
+++ b/src/cmd/trial/summary.rs
@@ -104,7 +104,14 @@
         writeln!(
             f,
             "{:<16}{:>10}{:>10}{:>10}{:>11}{:>9}{:>9}{:>9}",
-            "service", "answered", "not run", "unknown", "not whole", "p50 ms", "p99 ms", "p99.9 ms"
+            "service",
+            "answered",
+            "not run",
+            "unknown",
+            "not whole",
+            "p50 ms",
+            "p99 ms",
+            "p99.9 ms"
         )?;
         for row in self.rows() {
             writeln!(
--- a/src/cmd/trial/world.rs
+++ b/src/cmd/trial/world.rs
@@ -4,8 +4,8 @@
 use control::Platform;
 use daemon::{Listener, controld, entryd};
 use errors::{Error, Kind};
-use operator::wire::Apply;
 use operator::Api;
+use operator::wire::Apply;
 use platform::fake;
 use platform::{Machine, Role};
 use settings::{Class, Declaration, Deployment, Node, Service, Source};
@@ -84,13 +84,15 @@
             callers.iter().map(|address| format!("entry VM for callers: {address}")).collect();
         let first = callers[0];
         lines.push(format!("curl 'http://{first}/v1/lookup?block={block}&service={service}'"));
-        lines.push(format!("curl -H 'x-block: {block}' http://{first}/v1/services/{service}/hello"));
+        lines
+            .push(format!("curl -H 'x-block: {block}' http://{first}/v1/services/{service}/hello"));
         lines.join("\n")
     }
 
     /// Stops everything gracefully.
     pub async fn close(self) {
-        let closing: Vec<_> = self.nodes.into_iter().map(|pair| tokio::spawn(pair.close())).collect();
+        let closing: Vec<_> =
+            self.nodes.into_iter().map(|pair| tokio::spawn(pair.close())).collect();
         for task in closing {
             // A daemon that can't stop gracefully ends with this process.
             let _ = task.await;
--- /dev/null
+++ b/src/failure.rs
@@ -0,0 +1,52 @@
+use errors::{Error, Kind, answer};
+use operator::Refusal;
+use settings::Finding;
+use std::sync::Arc;
+
+/// Why a command didn't do what it was asked for.
+#[derive(Debug)]
+pub enum Failure {
+    /// The command line is wrong.
+    Usage(String),
+    /// Settings are wrong.
+    Findings(Vec<Finding>),
+    /// The control process refused, or couldn't be reached.
+    Refused(Box<Refusal>),
+    /// The operation that was asked for was never committed.
+    NotCommitted(Arc<str>),
+}
+
+impl Failure {
+    /// The exit code, from the table of answers.
+    pub fn exit(&self) -> u8 {
+        answer(self.kind()).exit
+    }
+
+    /// The kind of error.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Failure::Usage(_) => Kind::Malformed,
+            Failure::Findings(_) => Kind::BadSettings,
+            Failure::Refused(refusal) => refusal.kind,
+            Failure::NotCommitted(_) => Kind::NotReady,
+        }
+    }
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Failure {
+        Failure::Refused(Box::new(refusal))
+    }
+}
+
+impl From<Vec<Finding>> for Failure {
+    fn from(findings: Vec<Finding>) -> Failure {
+        Failure::Findings(findings)
+    }
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Failure {
+        Refusal::from(error).into()
+    }
+}
--- /dev/null
+++ b/src/output.rs
@@ -0,0 +1,136 @@
+//! What the commands print.
+
+use crate::failure::Failure;
+use errors::{Kind, Ran, answer};
+use operator::Refusal;
+use operator::wire::{Outcome, Winner};
+use serde::Serialize;
+use settings::Finding;
+use std::io::{self, Write};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// Prints lines for people, or one JSON document for programs.
+#[derive(Debug)]
+pub struct Output {
+    json: bool,
+}
+
+/// A failure as a JSON document.
+#[derive(Serialize)]
+struct Report<'a> {
+    kind: Kind,
+    ran: Ran,
+    exit: u8,
+    context: &'a str,
+    findings: &'a [Finding],
+    winner: Option<&'a Winner>,
+    operation: Option<&'a Arc<str>>,
+}
+
+impl Output {
+    /// Prints lines.
+    pub fn text() -> Output {
+        Output { json: false }
+    }
+
+    /// Prints JSON.
+    pub fn json() -> Output {
+        Output { json: true }
+    }
+
+    /// Prints a line for people.
+    pub fn line(&self, text: &str) {
+        if !self.json {
+            print(text);
+        }
+    }
+
+    /// Prints the document for programs.
+    pub fn document<D>(&self, document: &D)
+    where
+        D: Serialize,
+    {
+        if self.json {
+            print(&serde_json::to_string_pretty(document).unwrap_or_default());
+        }
+    }
+
+    /// Prints a failure, for people on standard error, and returns its exit code.
+    pub fn fail(&self, failure: &Failure) -> ExitCode {
+        if let (true, Failure::NotCommitted(_)) = (self.json, failure) {
+            self.document(&Outcome::NotRun);
+        } else if self.json {
+            self.document(&report(failure));
+        } else {
+            for line in lines(failure) {
+                let _ = writeln!(io::stderr(), "{line}");
+            }
+        }
+        ExitCode::from(failure.exit())
+    }
+}
+
+/// A reader that has gone, such as `head`, is no failure of the command.
+fn print(text: &str) {
+    let _ = writeln!(io::stdout(), "{text}");
+}
+
+fn report(failure: &Failure) -> Report<'_> {
+    let row = answer(failure.kind());
+    let mut report = Report {
+        kind: failure.kind(),
+        ran: row.ran,
+        exit: row.exit,
+        context: "",
+        findings: &[],
+        winner: None,
+        operation: None,
+    };
+    match failure {
+        Failure::Usage(text) => report.context = text.trim(),
+        Failure::NotCommitted(operation) => report.operation = Some(operation),
+        Failure::Findings(findings) => report.findings = findings,
+        Failure::Refused(refusal) => {
+            report.context = &refusal.context;
+            report.winner = refusal.winner.as_ref();
+            report.operation = refusal.operation.as_ref();
+        }
+    }
+    report
+}
+
+fn lines(failure: &Failure) -> Vec<String> {
+    match failure {
+        Failure::Usage(text) => vec![text.trim_end().to_owned()],
+        Failure::Findings(findings) => {
+            let mut lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            lines.push(format!("{} findings; nothing was changed", findings.len()));
+            lines
+        }
+        Failure::Refused(refusal) => refusal_lines(refusal),
+        Failure::NotCommitted(operation) => {
+            vec![format!("operation {operation} was never committed, and never will be")]
+        }
+    }
+}
+
+fn refusal_lines(refusal: &Refusal) -> Vec<String> {
+    let row = answer(refusal.kind);
+    let ended = match row.ran {
+        Ran::NotRun => "refused, nothing was changed",
+        Ran::Unknown => "the outcome is unknown",
+        Ran::Ran => "refused, it ran before",
+    };
+    let mut lines = vec![format!("{ended}: {}", refusal.context)];
+    if refusal.winner.is_some() {
+        lines.push("look at it with `heatherbend status`, then decide again".into());
+    }
+    if let Some(operation) = &refusal.operation {
+        lines.push(format!("ask with `heatherbend status --operation {operation}`"));
+    }
+    if let Some(span) = row.retry_after {
+        lines.push(format!("come back in {} s", span.0.div_ceil(1000)));
+    }
+    lines
+}
--- /dev/null
+++ b/tests/commands.rs
@@ -0,0 +1,129 @@
+//! Sessions of the command line against a control process in memory.
+//!
+//! Steps: `run WORDS` runs heatherbend with the control process's address and key, `local WORDS`
+//! without them, `stranger WORDS` with a wrong key; `lose-answer` and `race OPERATION` concern the
+//! next act; `stop` closes the control process's listener.
+
+use clock::Millis;
+use daemon::Listener;
+use operator::fake::Control;
+use operator::{Api, Key, router};
+use session::{Script, Step};
+use std::error::Error;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use tokio::runtime::Runtime;
+
+const SECRET: &str = "0123456789abcdef0123456789abcdef";
+const WRONG: &str = "an-operator-of-some-other-system-0";
+const ID_DIGITS: usize = 32;
+
+struct World {
+    runtime: Runtime,
+    control: Arc<Control>,
+    listener: Option<Listener>,
+    address: SocketAddr,
+    keys: PathBuf,
+    transcript: Vec<String>,
+}
+
+impl World {
+    fn open(keys: PathBuf) -> Result<World, Box<dyn Error>> {
+        fs::create_dir_all(&keys)?;
+        fs::write(keys.join("right"), SECRET)?;
+        fs::write(keys.join("wrong"), WRONG)?;
+        let runtime = Runtime::new()?;
+        let control = Arc::new(Control::default());
+        let api: Arc<dyn Api> = Arc::<Control>::clone(&control);
+        let any: SocketAddr = "127.0.0.1:0".parse()?;
+        let router = router(Key::new(SECRET.into()), api);
+        let listener = runtime.block_on(Listener::open(any, router))?;
+        let address = listener.address();
+        let listener = Some(listener);
+        Ok(World { runtime, control, listener, address, keys, transcript: Vec::new() })
+    }
+
+    fn take(&mut self, step: &Step) -> Result<(), Box<dyn Error>> {
+        match step.verb.as_str() {
+            "run" => {
+                self.run(step, &["--node", &self.address.to_string(), "--key-file", "right"])?
+            }
+            "stranger" => {
+                self.run(step, &["--node", &self.address.to_string(), "--key-file", "wrong"])?;
+            }
+            "local" => self.run(step, &[])?,
+            "lose-answer" => self.control.lose_next_answer(),
+            "race" => self.control.race_next_act(&step.words.join(" ")),
+            "stop" => self.stop(),
+            other => return Err(format!("unknown step `{other}`").into()),
+        }
+        Ok(())
+    }
+
+    fn run(&mut self, step: &Step, remote: &[&str]) -> Result<(), Box<dyn Error>> {
+        let remote = remote.iter().map(|word| match *word {
+            "right" | "wrong" => self.keys.join(word).display().to_string(),
+            other => other.to_owned(),
+        });
+        let result = Command::new(env!("CARGO_BIN_EXE_heatherbend"))
+            .current_dir(env!("CARGO_MANIFEST_DIR"))
+            .args(&step.words)
+            .args(remote)
+            .stdin(Stdio::null())
+            .output()?;
+        self.note(&format!("$ heatherbend {}", step.words.join(" ")));
+        for line in String::from_utf8(result.stdout)?.lines() {
+            self.note(line);
+        }
+        for line in String::from_utf8(result.stderr)?.lines() {
+            self.note(&format!("! {line}"));
+        }
+        let code = result.status.code().ok_or("heatherbend was killed")?;
+        self.note(&format!("exit {code}"));
+        Ok(())
+    }
+
+    fn note(&mut self, line: &str) {
+        let line = line.replace(&self.address.to_string(), "ADDRESS");
+        self.transcript.push(hide_ids(&line));
+    }
+
+    fn stop(&mut self) {
+        if let Some(listener) = self.listener.take() {
+            self.runtime.block_on(listener.close(Millis::from_secs(1)));
+        }
+    }
+}
+
+/// Replaces the random part of operation ids.
+fn hide_ids(line: &str) -> String {
+    let Some((before, after)) = line.split_once("op-") else {
+        return line.to_owned();
+    };
+    let digits = after.chars().take_while(char::is_ascii_hexdigit).count();
+    if digits < ID_DIGITS {
+        return format!("{before}op-{}", hide_ids(after));
+    }
+    format!("{before}op-ID{}", hide_ids(&after[digits..]))
+}
+
+fn play(path: &Path) -> datatest_stable::Result<()> {
+    let name = path.file_stem().ok_or("a session is a file")?;
+    let keys = Path::new(env!("CARGO_TARGET_TMPDIR")).join("keys").join(name);
+    session::check(path, |script: &Script| {
+        let mut world = World::open(keys)?;
+        for step in &script.steps {
+            world.take(step)?;
+        }
+        world.stop();
+        Ok(world.transcript)
+    })?;
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = play, root = "tests/commands", pattern = r"\.session$" },
+}
