--- a/src/cmd/trial/load.rs
+++ b/src/cmd/trial/load.rs
@@ -93,7 +93,7 @@
 
     async fn order_id(&mut self, service: &Arc<str>, number: u64) -> Option<Arc<str>> {
         let answer = self.client.look_up(service).await.ok()?;
-        Some(format!("{}.{}-{number}", answer.order_prefix, self.seed).into())
+        Some(format!("{}~{}-{number}", answer.order_prefix, self.seed).into())
     }
 }
 
