--- a/components/steering/src/admission.rs
+++ b/components/steering/src/admission.rs
@@ -14,6 +14,11 @@
 
 const SECOND: Millis = Millis::from_secs(1);
 
+/// The part of a region's window that moved requests may fill, so that those served there already
+/// aren't refused because of them.
+const MOVED_PART: u32 = 9;
+const MOVED_WHOLE: u32 = 10;
+
 /// The weight of the last second in the smoothed demand.
 const SMOOTHING: f64 = 0.25;
 
@@ -28,6 +33,14 @@
     gates: Vec<Gate>,
     ack: Ack,
     meter: Meter,
+    step: Step,
+}
+
+/// The step of growth under way.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    start: Millis,
+    generation: u64,
 }
 
 /// The windows of one region.
@@ -36,6 +49,17 @@
     name: Arc<str>,
     requests: Window,
     shift: Window,
+    moved: Growth,
+}
+
+/// How much traffic that a shift moved there the region's caches are warm for.
+///
+/// It grows by at most the node's part of the shift cap from one step to the next, whichever
+/// callers bring the traffic.
+#[derive(Debug)]
+struct Growth {
+    window: Window,
+    peak: u32,
 }
 
 /// A request that was let through.
@@ -54,7 +78,7 @@
     Serving,
     /// A shift moves it there, under the shift cap.
     Moved,
-    /// A shift is to move it away, but its new region's cap or shift cap is reached.
+    /// A shift is to move it away, but its turn hasn't come or its new region's cap is reached.
     Waiting,
 }
 
@@ -62,10 +86,16 @@
 #[derive(Debug, Default)]
 struct Meter {
     second: Millis,
-    home: u32,
-    away: u32,
-    home_rate: f64,
-    away_rate: f64,
+    home: Rate,
+    away: Rate,
+    moving: Rate,
+}
+
+/// A count in the current second and its smoothed rate.
+#[derive(Debug, Default)]
+struct Rate {
+    count: u32,
+    smoothed: f64,
 }
 
 impl Admission {
@@ -84,8 +114,9 @@
         let ack = Ack::default();
         let meter = Meter { second: now, ..Meter::default() };
         let gates = Vec::new();
+        let step = Step { start: now, generation: 0 };
         let mut admission =
-            Admission { vm, domain, started: now, region: None, shift, gates, ack, meter };
+            Admission { vm, domain, started: now, region: None, shift, gates, ack, meter, step };
         admission.tick(index, Regions::NONE, now);
         admission
     }
@@ -111,6 +142,7 @@
             step: snapshot.preset.shift_step,
             now,
         });
+        self.grow(snapshot.preset.shift_step, now);
         let own = region_of(&snapshot.deployment, &self.domain);
         self.region = own.and_then(|region| index.region(&region.name));
         self.ack = Ack {
@@ -141,8 +173,14 @@
             return Err(Error::new(Kind::NotReady, "the node has just started"));
         }
         self.shift.seen(now);
-        match self.shift.route(home, block, draw) {
+        let route = self.shift.route(home, block, draw);
+        if matches!(route, Route::Move { .. } | Route::Wait(_) | Route::Held) {
+            self.meter.moving.count += 1;
+        }
+        match route {
             Route::Stay(region) => self.send(region, Reason::Serving, now),
+            Route::Wait(region) => self.send(region, Reason::Waiting, now),
+            Route::Moved { to, old } => self.stay_moved(to, old, now),
             Route::Move { to, old } => self.move_to(to, old, now),
             Route::Held => Err(Error::new(Kind::ShiftCapped, "its region is lost")),
             Route::Lost => Err(Error::new(Kind::NoUpstream, "every region is lost")),
@@ -183,22 +221,52 @@
     /// What the node tells the planner of its callers' demand.
     pub fn demand(&self) -> Demand {
         Demand {
-            home: self.meter.home_rate.ceil() as u32,
-            away: self.meter.away_rate.ceil() as u32,
+            home: self.meter.home.smoothed.ceil() as u32,
+            away: self.meter.away.smoothed.ceil() as u32,
+            moving: self.meter.moving.smoothed.ceil() as u32,
         }
     }
 
     fn move_to(&mut self, to: u16, old: Option<u16>, now: Millis) -> Result<Admitted, Error> {
         let gate = &mut self.gates[usize::from(to)];
-        let admitted = gate.shift.check(now).is_ok() && gate.requests.check(now).is_ok();
+        let room = gate.requests.cap() * MOVED_PART / MOVED_WHOLE;
+        let fits = gate.requests.used(now) < room;
+        let admitted =
+            fits && gate.shift.check(now).is_ok() && gate.moved.window.admit(now).is_ok();
         self.shift.attempt(to, admitted, now);
         if !admitted {
-            let old = old.ok_or_else(|| shift_capped(&gate.name))?;
-            return self.send(old, Reason::Waiting, now);
+            return self.send_back(to, old, now);
+        }
+        // Nothing came between the check and here, so the window still has room.
+        let _ = gate.shift.admit(now);
+        self.send(to, Reason::Moved, now)
+    }
+
+    fn stay_moved(&mut self, to: u16, old: Option<u16>, now: Millis) -> Result<Admitted, Error> {
+        match self.gates[usize::from(to)].moved.window.admit(now) {
+            Ok(()) => self.send(to, Reason::Serving, now),
+            Err(_) => self.send_back(to, old, now),
+        }
+    }
+
+    fn send_back(&mut self, to: u16, old: Option<u16>, now: Millis) -> Result<Admitted, Error> {
+        self.meter.count(Some(to) == self.region);
+        match old {
+            Some(old) => self.send(old, Reason::Waiting, now),
+            None => Err(shift_capped(&self.gates[usize::from(to)].name)),
+        }
+    }
+
+    /// Lets moved traffic grow by another part of the shift cap when a step has passed.
+    fn grow(&mut self, step: Millis, now: Millis) {
+        let restarted = self.step.generation != self.shift.generation();
+        let passed = now - self.step.start >= step;
+        for gate in &mut self.gates {
+            gate.moved.advance(gate.shift.cap(), passed, restarted, now);
+        }
+        if passed || restarted {
+            self.step = Step { start: now, generation: self.shift.generation() };
         }
-        let sent = self.send(to, Reason::Moved, now)?;
-        self.gates[usize::from(to)].shift.admit(now).map_err(|_| shift_capped("the region"))?;
-        Ok(sent)
     }
 
     fn send(&mut self, region: u16, reason: Reason, now: Millis) -> Result<Admitted, Error> {
@@ -228,31 +296,48 @@
         match old.iter().position(|gate| gate.name == *name) {
             Some(at) => old.swap_remove(at),
             None => {
-                Gate { name: Arc::clone(name), requests: Window::new(0), shift: Window::new(0) }
+                let moved = Growth { window: Window::new(0), peak: 0 };
+                let (requests, shift) = (Window::new(0), Window::new(0));
+                Gate { name: Arc::clone(name), requests, shift, moved }
             }
         }
     }
 }
 
+impl Growth {
+    fn advance(&mut self, share: u32, passed: bool, restarted: bool, now: Millis) {
+        self.peak = if restarted { 0 } else { self.peak.max(self.window.used(now)) };
+        if passed || restarted {
+            self.window.set_cap(self.peak.saturating_add(share));
+        }
+    }
+}
+
 impl Meter {
     fn count(&mut self, home: bool) {
         match home {
-            true => self.home += 1,
-            false => self.away += 1,
+            true => self.home.count += 1,
+            false => self.away.count += 1,
         }
     }
 
     fn advance(&mut self, now: Millis) {
         while now - self.second >= SECOND {
             self.second = self.second + SECOND;
-            self.home_rate += SMOOTHING * (f64::from(self.home) - self.home_rate);
-            self.away_rate += SMOOTHING * (f64::from(self.away) - self.away_rate);
-            self.home = 0;
-            self.away = 0;
+            self.home.end_second();
+            self.away.end_second();
+            self.moving.end_second();
         }
     }
 }
 
+impl Rate {
+    fn end_second(&mut self) {
+        self.smoothed += SMOOTHING * (f64::from(self.count) - self.smoothed);
+        self.count = 0;
+    }
+}
+
 fn shift_capped(region: &str) -> Error {
     Error::new(Kind::ShiftCapped, format!("the shift cap into {region} is reached"))
 }
