--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -1,6 +1,7 @@
 use crate::core::Core;
 use crate::flight::Flight;
 use crate::job::Job;
+use crate::service::Source;
 use clock::Millis;
 use std::sync::Arc;
 use upstream::{Attempt, Failure, HeaderMap, HeaderValue, Reply, header};
@@ -54,6 +55,6 @@
 
 fn note_leaving(core: &Core, flight: &Flight, reply: &Reply) {
     if reply.headers.get(header::LEAVING).is_some_and(|value| value == "true") {
-        core.services().mark_leaving(&flight.upstream, core.clock.now());
+        core.services().mark_leaving(&flight.upstream, Source::Answer, core.clock.now());
     }
 }
--- a/components/entry/src/service/mod.rs
+++ b/components/entry/src/service/mod.rs
@@ -4,6 +4,6 @@
 mod services;
 mod state;
 
-pub(crate) use leaving::Leaving;
+pub(crate) use leaving::{Leaving, Source};
 pub(crate) use services::Services;
 pub(crate) use state::{Observed, Service};
--- a/components/entry/src/service/services.rs
+++ b/components/entry/src/service/services.rs
@@ -1,4 +1,4 @@
-use crate::service::{Leaving, Service};
+use crate::service::{Leaving, Service, Source};
 use crate::view::View;
 use clock::Millis;
 use rand::SeedableRng;
@@ -43,8 +43,8 @@
     }
 
     /// Notes that an upstream said that it leaves.
-    pub(crate) fn mark_leaving(&mut self, upstream: &Arc<str>, now: Millis) {
-        self.leaving.mark(upstream, now);
+    pub(crate) fn mark_leaving(&mut self, upstream: &Arc<str>, source: Source, now: Millis) {
+        self.leaving.mark(upstream, source, now);
         for service in self.by_name.values_mut() {
             service.apply(&self.leaving);
         }
@@ -53,7 +53,7 @@
     /// Notes a load report; true if the upstream takes work again after it had said that it leaves.
     pub(crate) fn note_load(&mut self, upstream: &Arc<str>, load: Load, now: Millis) -> bool {
         if load.leaving {
-            self.mark_leaving(upstream, now);
+            self.mark_leaving(upstream, Source::Report, now);
             return false;
         }
         let report = Report { at: now, running: load.running, waiting: load.waiting };
--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -16,6 +16,9 @@
 const SCHEDULES: u32 = 12_500;
 const ENTRIES: [&str; 3] = ["e1", "e2", "e3"];
 const IDS: usize = 4;
+/// Blocks whose look-ups name `e1` and `e2` first.
+const BLOCK_OF_E1: u32 = 0;
+const BLOCK_OF_E2: u32 = 8;
 /// Load reports play no part here.
 const SETUP: Setup = Setup {
     poll: Millis::from_secs(3600),
@@ -110,8 +113,8 @@
 
 // Two ids that are claimed in the table and two that name their home.
 fn ids(world: &World) -> Result<Vec<Arc<str>>, String> {
-    let homed = |via: &str| world.prefix(via).map(|prefix| Arc::from(format!("{prefix}~x")));
-    Ok(vec!["plain-1".into(), "plain-2".into(), homed("e1")?, homed("e2")?])
+    let homed = |block| world.prefix("e1", block).map(|prefix| Arc::from(format!("{prefix}~x")));
+    Ok(vec!["plain-1".into(), "plain-2".into(), homed(BLOCK_OF_E1)?, homed(BLOCK_OF_E2)?])
 }
 
 fn take(world: &mut World, ids: &[Arc<str>], number: usize, act: Act) {
--- a/components/entry/tests/drive/mod.rs
+++ b/components/entry/tests/drive/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use steering::State;
 use upstream::fake::Fault;
+use upstream::load::Load;
 
 const SETUP: Setup = Setup {
     poll: Millis::from_secs(1),
@@ -84,7 +85,7 @@
         via: step.option("via").ok_or("via is missing")?.into(),
         service: service.into(),
         path: step.option("path").unwrap_or(PATH).into(),
-        block: 0,
+        block: block(step)?,
         order: step.option("id").map(|id| order_id(prefixes, id)),
         budget: step.option("budget").map(str::parse).transpose()?.map(Millis),
     })
@@ -100,7 +101,7 @@
 
 fn prefix(world: &World, prefixes: &mut Prefixes, step: &Step) -> Result<(), Box<dyn Error>> {
     let via = step.option("via").ok_or("via is missing")?;
-    let prefix = world.prefix(via)?;
+    let prefix = world.prefix(via, block(step)?)?;
     prefixes.insert(word(step)?.into(), prefix);
     Ok(())
 }
@@ -151,6 +152,10 @@
         "up" => servers(world, name).iter().for_each(|server| server.set_down(false)),
         "leaving" => servers(world, name).iter().for_each(|server| server.set_leaving(true)),
         "staying" => servers(world, name).iter().for_each(|server| server.set_leaving(false)),
+        "lying" => {
+            let idle = Some(Load::default());
+            servers(world, name).iter().for_each(|server| server.set_reported(idle));
+        }
         "listed-leaving" => world.set_upstream(name, State::Leaving),
         "listed-live" => world.set_upstream(name, State::Live),
         "service" => {
@@ -170,6 +175,11 @@
     }
 }
 
+// Sites have four blocks each, so 0, 8 and 16 come from three regions.
+fn block(step: &Step) -> Result<u32, Box<dyn Error>> {
+    Ok(step.option("block").map(str::parse).transpose()?.unwrap_or_default())
+}
+
 fn word(step: &Step) -> Result<&str, Box<dyn Error>> {
     let missing = || format!("{} needs a word", step.verb);
     Ok(step.words.first().ok_or_else(missing)?)
--- a/components/entry/tests/world/mod.rs
+++ b/components/entry/tests/world/mod.rs
@@ -175,8 +175,8 @@
     }
 
     /// The order prefix that an entry VM gives callers.
-    pub fn prefix(&self, via: &str) -> Result<Arc<str>, String> {
-        let query = caller::lookup::Query { block: 0, service: "orders".into(), token: None };
+    pub fn prefix(&self, via: &str, block: u32) -> Result<Arc<str>, String> {
+        let query = caller::lookup::Query { block, service: "orders".into(), token: None };
         let answer = self.nodes[via].entry.look_up(&query);
         answer.map(|answer| answer.order_prefix).map_err(|refusal| refusal.error.to_string())
     }
