--- a/components/upstream/src/fake/server.rs
+++ b/components/upstream/src/fake/server.rs
@@ -221,7 +221,10 @@
             let state = self.state();
             (state.revision, state.leaving)
         };
-        let whole = entity(&attempt.path, revision);
+        let whole = match fault {
+            Some(Fault::Mixed) => entity(&format!("{}/other", attempt.path), revision),
+            _ => entity(&attempt.path, revision),
+        };
         let tag = entity_tag(&attempt.path, revision);
         let from = resumed_from(&attempt.headers, &tag, whole.len());
         let part = whole.slice(from.unwrap_or(0)..);
