Fit a slab to what its step saw, and go on where the destination is full

A slab whose requests had to wait is cut to what fits instead of by half, a changed target takes a waiting slab back at once, and half of the shift cap is split evenly, so that VMs that had nothing to move so far can.

Still slow, because look-ups answered by a node that is ahead send callers to nodes that are behind; next.

--- a/components/steering/src/admission.rs
+++ b/components/steering/src/admission.rs
@@ -204,9 +204,10 @@
     fn move_to(&mut self, to: u16, old: Option<u16>, now: Millis) -> Result<Admitted, Error> {
         let gate = &mut self.gates[usize::from(to)];
         let room = gate.requests.cap() * MOVED_PART / MOVED_WHOLE;
-        let fits = gate.requests.used(now) < room;
-        let admitted =
-            fits && gate.shift.check(now).is_ok() && gate.moved.window.admit(now).is_ok();
+        if gate.requests.used(now) >= room {
+            return self.send_back(to, old, now);
+        }
+        let admitted = gate.shift.check(now).is_ok() && gate.moved.window.admit(now).is_ok();
         self.shift.attempt(to, admitted, now);
         if !admitted {
             return self.send_back(to, old, now);
@@ -217,13 +218,13 @@
     }
 
     fn stay_moved(&mut self, to: u16, old: Option<u16>, now: Millis) -> Result<Admitted, Error> {
-        match self.gates[usize::from(to)].moved.window.admit(now) {
-            Ok(()) => self.send(to, Reason::Serving, now),
-            Err(_) => {
-                self.meter.moving.count += 1;
-                self.send_back(to, old, now)
-            }
+        let gate = &mut self.gates[usize::from(to)];
+        let full = old.is_some() && gate.requests.check(now).is_err();
+        if !full && gate.moved.window.admit(now).is_ok() {
+            return self.send(to, Reason::Serving, now);
         }
+        self.meter.moving.count += 1;
+        self.send_back(to, old, now)
     }
 
     fn send_back(&mut self, to: u16, old: Option<u16>, now: Millis) -> Result<Admitted, Error> {
--- a/components/steering/src/allot.rs
+++ b/components/steering/src/allot.rs
@@ -12,6 +12,12 @@
 /// that a VM without demand so far can serve its first requests.
 const FLOOR: u32 = WHOLE / 10;
 
+/// The part of the shift cap, in units of [`WHOLE`], that is split by the number of members alone.
+///
+/// It is larger, because a region that is lost while no planner runs makes other VMs move traffic
+/// than those that moved some before.
+const SHIFT_FLOOR: u32 = WHOLE / 2;
+
 /// The weight of a member in its own region's floor; in the other regions' it is one.
 const HOME_WEIGHT: u32 = 4;
 
@@ -101,6 +107,7 @@
         let goal = Goal {
             demand: eligible(claims).map(|claim| u64::from(claim.demand.region(region))).sum(),
             weight: eligible(claims).map(|claim| claim.weight(region)).sum(),
+            floor: FLOOR,
         };
         for claim in claims.iter_mut().filter(|claim| claim.eligible) {
             let target = goal.part(claim.demand.region(region), claim.weight(region));
@@ -110,6 +117,7 @@
     let goal = Goal {
         demand: eligible(claims).map(|claim| u64::from(claim.demand.moving)).sum(),
         weight: eligible(claims).count() as u32,
+        floor: SHIFT_FLOOR,
     };
     for claim in claims.iter_mut().filter(|claim| claim.eligible) {
         claim.shift.target = goal.part(claim.demand.moving, 1);
@@ -130,11 +138,12 @@
 struct Goal {
     demand: u64,
     weight: u32,
+    floor: u32,
 }
 
 impl Goal {
     fn part(&self, demand: u32, weight: u32) -> u32 {
-        let floor = if self.demand == 0 { WHOLE } else { FLOOR };
+        let floor = if self.demand == 0 { WHOLE } else { self.floor };
         let even = proportion(floor, weight, u64::from(self.weight));
         even + proportion(WHOLE - floor, demand, self.demand)
     }
--- a/components/steering/src/shift.rs
+++ b/components/steering/src/shift.rs
@@ -188,7 +188,10 @@
         self.demand.count(now);
     }
 
-    /// Counts an attempt to move a request to `to` and whether the shift limiter admitted it.
+    /// Counts an attempt to move a request to `to` and whether the shift cap admitted it.
+    ///
+    /// A request that finds `to` full isn't an attempt: it stays with its old region whether or not
+    /// the position has moved, and the shift may go on.
     pub fn attempt(&mut self, to: u16, admitted: bool, now: Millis) {
         self.step.count(to, &self.limits, now);
         self.step.deferred |= !admitted;
@@ -274,37 +277,29 @@
         self.open(self.guess(), tick);
     }
 
-    /// Lets the slabs of the last step go on, or takes the newest one back by half if some of its
-    /// requests had to wait.
+    /// Lets the slabs of the last step go on, or takes some of them back if requests had to wait.
     fn end_step(&mut self, tick: &Tick<'_>) {
-        if self.step.deferred {
-            self.shrink();
-            self.step = Step::new(tick.now, tick.regions.len());
-            return;
-        }
-        let zone = self.progress - self.warm;
-        self.warm = self.settled;
-        self.settled = self.progress;
         let changed = self.wanted != self.target && self.base.len() < MAX_SEGMENTS;
-        if changed && self.is_closed() {
-            self.rebase(tick);
-            return;
-        }
+        let zone = self.progress - self.warm;
         let fitting = match self.step.peak {
             0.0 => self.guess(),
             peak => (zone as f64 * (FILL / peak).min(GROWTH)) as u64,
         };
-        let slab = if changed { 0 } else { fitting.saturating_sub(self.settled - self.warm) };
-        self.open(slab, tick);
-    }
-
-    fn shrink(&mut self) {
-        if self.progress > self.settled {
-            self.progress -= (self.progress - self.settled).div_ceil(2);
+        if self.step.deferred {
+            let kept = if changed { 0 } else { fitting.min(zone / 2) };
+            self.progress = self.warm + kept;
+            self.settled = self.settled.min(self.progress);
         } else {
-            self.settled -= (self.settled - self.warm) / 2;
-            self.progress = self.settled;
+            self.warm = self.settled;
+            self.settled = self.progress;
+        }
+        if changed && self.is_closed() {
+            self.rebase(tick);
+            return;
         }
+        let more = !changed && !self.step.deferred;
+        let slab = fitting.saturating_sub(self.settled - self.warm);
+        self.open(if more { slab } else { self.progress - self.settled }, tick);
     }
 
     fn open(&mut self, slab: u64, tick: &Tick<'_>) {
