Pace all nodes of a shift alike, and begin drains' shifts earlier

A node with little to move ran ahead and its look-ups sent the callers of others to nodes that were behind, whose small shares then refused them. The plan now carries the demand of all callers, from which every node works out the same pace.

--- a/components/steering/src/plan.rs
+++ b/components/steering/src/plan.rs
@@ -19,6 +19,8 @@
     pub version: u64,
     /// The names of the regions, in the order of every number and row below.
     pub regions: Vec<Arc<str>>,
+    /// Requests a second of all callers, when the plan was made.
+    pub demand: u32,
     /// The entry VMs that hold shares, sorted by name.
     pub members: Vec<Member>,
     /// The number of the shift under way, or of the last one.
--- a/components/steering/src/planner.rs
+++ b/components/steering/src/planner.rs
@@ -24,7 +24,7 @@
 const SPARE_STEPS: u64 = 5;
 
 /// By how many times a shift before a drain may take longer than one under a full cap.
-const LEAD_FACTOR: u64 = 2;
+const LEAD_FACTOR: u64 = 4;
 
 /// How many standard deviations of a second's requests a share has room for, beside its mean.
 const BURST_DEVIATIONS: u32 = 3;
@@ -117,6 +117,7 @@
     }
     let mut plan = shift.unwrap_or_else(|| old_here.clone());
     plan.version = input.version;
+    plan.demand = total_demand(input.reports).min(u64::from(u32::MAX)) as u32;
     plan.sequence = if input.epoch > old.epoch { 1 } else { old.sequence + 1 };
     plan.epoch = input.epoch.max(old.epoch);
     plan.members = members.unwrap_or_else(|| carried(&old_here, input.reports));
@@ -239,9 +240,12 @@
 /// How long before its start a drain's traffic begins to move, as if all traffic had to move to
 /// one region.
 fn lead(input: &Input<'_>) -> Millis {
-    let demand =
-        |report: &Report| report.demand.regions.iter().map(|rate| u64::from(*rate)).sum::<u64>();
-    let total: u64 = input.reports.iter().map(demand).sum();
+    let total = total_demand(input.reports);
     let steps = total / u64::from(input.preset.shift_cap.max(1)) + 1;
     Millis((LEAD_FACTOR * steps + SPARE_STEPS) * input.preset.shift_step.0)
 }
+
+fn total_demand(reports: &[Report]) -> u64 {
+    let rates = reports.iter().flat_map(|report| &report.demand.regions);
+    rates.map(|rate| u64::from(*rate)).sum()
+}
--- a/components/steering/src/sample.rs
+++ b/components/steering/src/sample.rs
@@ -119,6 +119,7 @@
         epoch: 1,
         sequence: 1,
         version: 1,
+        demand: 0,
         members: vms.iter().map(member).collect(),
         from: vec![Segment { until: WHOLE, split: split.clone() }],
         to: split,
--- a/components/steering/src/shift.rs
+++ b/components/steering/src/shift.rs
@@ -41,6 +41,7 @@
     progress: u64,
     generation: u64,
     started: Millis,
+    moving: f64,
     step: Step,
     demand: Demand,
     limits: Vec<u32>,
@@ -86,6 +87,8 @@
     pub down: Regions,
     /// The node's shift limit into each region, in requests a second.
     pub limits: &'a [u32],
+    /// The shift cap into a region over all nodes, in requests a second.
+    pub cap: u32,
     /// How long a slab must serve before the next one moves.
     pub step: Millis,
     /// The longest lease of a caller.
@@ -149,6 +152,7 @@
             progress: settled,
             generation: 0,
             started: tick.now,
+            moving: 1.0,
             step: Step::new(tick.now, tick.regions.len()),
             demand: Demand::default(),
             limits: tick.limits.to_vec(),
@@ -267,6 +271,8 @@
             earlier.until = if same { later.until } else { earlier.until };
             same
         });
+        self.moving =
+            base.iter().map(|track| track.aim.moved_part(&self.wanted)).fold(0.0, f64::max);
         self.base = base;
         self.target = self.wanted.clone();
         self.generation += 1;
@@ -274,7 +280,7 @@
         self.warm = 0;
         self.settled = 0;
         self.progress = 0;
-        self.open(self.guess(), tick);
+        self.open(self.guess().min(self.pace(tick)), tick);
     }
 
     /// Lets the slabs of the last step go on, or takes some of them back if requests had to wait.
@@ -285,6 +291,7 @@
             0.0 => self.guess(),
             peak => (zone as f64 * (FILL / peak).min(GROWTH)) as u64,
         };
+        let fitting = fitting.min(self.pace(tick));
         if self.step.deferred {
             let kept = if changed { 0 } else { fitting.min(zone / 2) };
             self.progress = self.warm + kept;
@@ -308,6 +315,16 @@
         self.step = Step::new(tick.now, tick.regions.len());
     }
 
+    /// The slabs that fit the cap over all nodes.
+    ///
+    /// A node with little to move keeps to it too, because its look-ups send the callers of others
+    /// to where the position has moved.
+    fn pace(&self, tick: &Tick<'_>) -> u64 {
+        let moving = f64::from(tick.plan.demand) * self.moving;
+        let part = FILL * f64::from(tick.cap) / moving.max(1.0);
+        (END as f64 * part.min(1.0)) as u64
+    }
+
     /// A slab that fits if requests are spread evenly and all of them move to one region.
     fn guess(&self) -> u64 {
         let limit = self.limits.iter().copied().filter(|limit| *limit > 0).min().unwrap_or(0);
@@ -336,6 +353,29 @@
     }
 }
 
+impl Aim {
+    /// The part of the traffic that is served elsewhere under `other`, if all home regions have as
+    /// much.
+    fn moved_part(&self, other: &Aim) -> f64 {
+        let rows = self.split.rows.iter().zip(&other.split.rows);
+        let parts = rows.map(|(old, new)| {
+            let (old, new) = (self.parts(old), other.parts(new));
+            let gains = old.iter().zip(&new).map(|(old, new)| (new - old).max(0.0));
+            gains.sum::<f64>()
+        });
+        parts.sum::<f64>() / self.split.rows.len().max(1) as f64
+    }
+
+    fn parts(&self, row: &[u32]) -> Vec<f64> {
+        let weight = |(region, weight): (usize, &u32)| {
+            if self.lost.contains(region as u16) { 0.0 } else { f64::from(*weight) }
+        };
+        let weights: Vec<f64> = row.iter().enumerate().map(weight).collect();
+        let sum = weights.iter().sum::<f64>().max(1.0);
+        weights.iter().map(|weight| weight / sum).collect()
+    }
+}
+
 impl Step {
     fn new(start: Millis, regions: usize) -> Step {
         let attempts = vec![0; regions];
