--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -6,25 +6,32 @@
 //! `entryd`.
 
 mod agent;
+mod api;
 mod bootstrap;
+mod commit;
 mod config;
 mod control;
+mod explain;
+pub mod fake;
 mod fetch;
 mod gossip;
 mod handler;
 mod heartbeat;
 mod install;
-mod lease;
+mod load;
 mod local;
+mod planner;
 mod poll;
 mod roster;
 mod rows;
 mod snapshot;
 pub mod spread;
 mod state;
+mod tenure;
 
 pub use agent::Agent;
 pub use config::{Config, Platform};
 pub use control::Control;
 pub use roster::Roster;
+pub use rows::Lease;
 pub use spread::Spread;
