Test the choice of upstreams, classes, hedges and retries

Two faults found by the tests and mended: a leaving upstream without requests lost its place to the next one of the same roster; and an entry VM at a low load, with one upstream in use, had no peers to compare it with, so a straggler was never set aside.

--- a/components/steering/src/choice/aside.rs
+++ b/components/steering/src/choice/aside.rs
@@ -14,6 +14,8 @@
 const BOUND: usize = 4;
 /// Peers without this many samples say nothing of what is usual.
 const SAMPLES_MIN: u32 = 5;
+/// Upstreams in use that are enough to say what is usual.
+const PEERS_MIN: usize = 3;
 /// The time from setting aside to the first probe; doubled after each slow one.
 const PROBE_MIN: Millis = Millis(500);
 const PROBE_MAX: Millis = Millis(16_000);
@@ -42,15 +44,21 @@
 }
 
 /// The median service time of the upstreams that are in use, in milliseconds.
-pub(super) fn usual(members: &[Member], now: Millis) -> Option<f64> {
+///
+/// While too few upstreams are in use to compare with each other, as at a low load, `before` goes
+/// on as the measure: what got slower since then is slow, rather than usual.
+pub(super) fn usual(members: &[Member], before: Option<f64>, now: Millis) -> Option<f64> {
     let known = members.iter().filter(|m| is_peer(m)).filter_map(|m| m.service_time(now));
     let mut times: Vec<f64> = known.collect();
     if times.is_empty() {
-        return None;
+        return before;
     }
     let middle = times.len() / 2;
-    let (_, median, _) = times.select_nth_unstable_by(middle, f64::total_cmp);
-    Some(*median)
+    let (_, &mut median, _) = times.select_nth_unstable_by(middle, f64::total_cmp);
+    if times.len() >= PEERS_MIN {
+        return Some(median);
+    }
+    Some(before.map_or(median, |before| before.min(median)))
 }
 
 fn is_peer(member: &Member) -> bool {
--- a/components/steering/src/choice/member.rs
+++ b/components/steering/src/choice/member.rs
@@ -38,6 +38,8 @@
     pub long_in_flight: u32,
     /// The last load report.
     pub report: Option<Report>,
+    /// Whether the last roster has it; if not, its place is free once nothing is in flight.
+    pub(super) listed: bool,
     /// When it was set aside as a straggler.
     pub(super) aside: Option<super::aside::Aside>,
     started: Vec<Ticket>,
@@ -101,6 +103,7 @@
             short_in_flight: 0,
             long_in_flight: 0,
             report: None,
+            listed: true,
             aside: None,
             started: Vec::new(),
             serial: 0,
--- a/components/steering/src/choice/pool.rs
+++ b/components/steering/src/choice/pool.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     members: Vec<Member>,
-    usual: f64,
+    usual: Option<f64>,
     usual_at: Option<Millis>,
 }
 
@@ -37,6 +37,7 @@
         for member in &mut self.members {
             if !listed(member) {
                 member.state = State::Leaving;
+                member.listed = false;
             }
         }
         for candidate in &roster.candidates {
@@ -46,6 +47,7 @@
             if returns && !first {
                 member.begin_ramp(now);
             }
+            member.listed = true;
             member.state = candidate.upstream.state;
             member.round_trip = candidate.round_trip;
             member.slots = candidate.slots;
@@ -62,7 +64,7 @@
             return index;
         }
         let member = Member::new(Arc::clone(name), State::Leaving);
-        let is_vacant = |member: &Member| member.state == State::Leaving && member.in_flight() == 0;
+        let is_vacant = |member: &Member| !member.listed && member.in_flight() == 0;
         match self.members.iter().position(is_vacant) {
             Some(index) => {
                 self.members[index] = member;
@@ -106,7 +108,7 @@
 
     /// Notes how a request ended; each ticket is handed back once.
     pub fn finish(&mut self, ticket: Ticket, outcome: Outcome, now: Millis) {
-        let usual = self.usual;
+        let usual = self.usual();
         let member = &mut self.members[ticket.index];
         member.finish(ticket, outcome, now);
         aside::judge_probe(member, ticket, outcome, usual, now);
@@ -114,7 +116,7 @@
 
     /// The median service time of the upstreams in use, in milliseconds; zero while unknown.
     pub fn usual(&self) -> f64 {
-        self.usual
+        self.usual.unwrap_or_default()
     }
 
     /// Brings the comparison with peers up to date and sets stragglers aside.
@@ -123,8 +125,8 @@
             return;
         }
         self.usual_at = Some(now);
-        let Some(usual) = aside::usual(&self.members, now) else { return };
-        self.usual = usual;
+        self.usual = aside::usual(&self.members, self.usual, now);
+        let Some(usual) = self.usual else { return };
         aside::set_aside(&mut self.members, usual, now);
     }
 
--- a/components/steering/src/sample.rs
+++ b/components/steering/src/sample.rs
@@ -1,8 +1,8 @@
 //! Small deployments and snapshots for tests, experiments and benches.
 
-use crate::{Member, Plan, Segment, Snapshot, Split, State, Units, Vm, WHOLE};
+use crate::{Member, Plan, Segment, Snapshot, Split, State, Units, Upstream, Vm, WHOLE};
 use clock::Millis;
-use settings::{Deployment, Link, Preset, Range, Region, Share, Site};
+use settings::{Class, Deployment, Link, Preset, Range, Region, Service, Share, Site};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
@@ -107,6 +107,29 @@
     (number % REGIONS.len()) as u16
 }
 
+/// Adds `servers` upstreams of a short service to a sample, spread evenly over the failure domains.
+pub fn add_service(snapshot: &mut Snapshot, name: &str, servers: usize, slots: u32) {
+    let mut deployment = Deployment::clone(&snapshot.deployment);
+    deployment.services.push(Service {
+        name: name.into(),
+        class: Class::Short,
+        servers: servers as u32,
+        slots,
+        connections: 330,
+        connect: Millis(1),
+        deadline: Millis::from_secs(5),
+    });
+    snapshot.deployment = Arc::new(deployment);
+    let server = |number: usize| Upstream {
+        name: format!("{name}-{number:02}").into(),
+        service: name.into(),
+        domain: domain_of(number),
+        address: SocketAddr::from(([10, 1, (number >> 8) as u8, number as u8], PORT)),
+        state: State::Live,
+    };
+    snapshot.upstreams.extend((0..servers).map(server));
+}
+
 fn plan(regions: Vec<Arc<str>>, vms: &[Vm]) -> Plan {
     let each = WHOLE / vms.len() as u32;
     let member = |(number, vm): (usize, &Vm)| Member {
