--- a/components/steering/src/choice/aside.rs
+++ b/components/steering/src/choice/aside.rs
@@ -20,6 +20,10 @@
 const PROBE_MIN: Millis = Millis(500);
 const PROBE_MAX: Millis = Millis(16_000);
 
+/// An upstream that no request may probe, as with a service of orders, returns this long after the
+/// probe was due.
+const UNPROBED_MAX: Millis = Millis(10_000);
+
 /// Since when an upstream is set aside, and when it is tried again.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Aside {
@@ -36,6 +40,11 @@
         now >= self.probe_at
     }
 
+    /// Whether no request that may probe has come for so long that it is tried without.
+    fn is_expired(&self, now: Millis) -> bool {
+        now >= self.probe_at + UNPROBED_MAX
+    }
+
     /// Puts the next probe off, while one is under way and after a slow one.
     pub(super) fn put_off(&mut self, now: Millis) {
         self.interval = Millis(self.interval.0 * 2).min(PROBE_MAX);
@@ -65,6 +74,15 @@
     member.state == State::Live && member.aside.is_none() && member.samples() >= SAMPLES_MIN
 }
 
+/// Returns upstreams that were due for a probe but got none.
+pub(super) fn return_unprobed(members: &mut [Member], now: Millis) {
+    for member in members {
+        if member.aside.is_some_and(|aside| aside.is_expired(now)) {
+            member.begin_ramp(now);
+        }
+    }
+}
+
 /// Sets stragglers aside, the slowest first, never more than a bounded part.
 pub(super) fn set_aside(members: &mut [Member], usual: f64, now: Millis) {
     let live = members.iter().filter(|m| m.state == State::Live).count();
--- a/components/steering/src/choice/pool.rs
+++ b/components/steering/src/choice/pool.rs
@@ -125,6 +125,7 @@
             return;
         }
         self.usual_at = Some(now);
+        aside::return_unprobed(&mut self.members, now);
         self.usual = aside::usual(&self.members, self.usual, now);
         let Some(usual) = self.usual else { return };
         aside::set_aside(&mut self.members, usual, now);
--- a/components/steering/src/choice/ranked.rs
+++ b/components/steering/src/choice/ranked.rs
@@ -4,6 +4,9 @@
 use settings::Class;
 use std::sync::Arc;
 
+/// An own slot is passed over if it is expected to take this many times longer than another.
+const BORROW_FACTOR: f64 = 2.0;
+
 /// The policy in force: own slots first, then the upstream that should answer first.
 ///
 /// An entry VM knows exactly what it has sent to the slots it owns, so it fills those before it
@@ -48,11 +51,14 @@
     let usual = pool.usual();
     let own: Vec<usize> =
         good.iter().copied().filter(|&at| has_own_slot(&members[at], now)).collect();
-    if let Some(index) = least(members, &own, usual, now, rng) {
-        return (index, Reason::OwnSlot);
-    }
-    if let Some(index) = least(members, &good, usual, now, rng) {
-        return (index, Reason::Borrowed);
+    let own = least(members, &own, usual, now, rng);
+    let best = least(members, &good, usual, now, rng);
+    match (own, best) {
+        (Some(own), Some(best)) if !is_worse(&members[own], &members[best], usual, now) => {
+            return (own, Reason::OwnSlot);
+        }
+        (_, Some(best)) => return (best, Reason::Borrowed),
+        _ => {}
     }
     let index = least(members, eligible, usual, now, rng).unwrap_or(eligible[0]);
     (index, Reason::LastResort)
@@ -71,6 +77,11 @@
     f64::from(member.in_flight()) < slots
 }
 
+/// Whether an own slot is so slow that borrowing is better, though others may use that one too.
+fn is_worse(own: &Member, best: &Member, usual: f64, now: Millis) -> bool {
+    cost(own, usual, now) > BORROW_FACTOR * cost(best, usual, now)
+}
+
 /// The upstream that should answer first; ties are broken at random.
 fn least(
     members: &[Member],
