Start the log in both daemons and serve entryd's metrics

Logging starts after the line with the addresses, which stays the first on standard output. entryd's metrics stand beside relayed orders, behind the operators' key, since entryd has no listener for operators.

--- a/components/daemon/src/entryd.rs
+++ b/components/daemon/src/entryd.rs
@@ -7,6 +7,7 @@
 use peer::http::{Key, Relay, relay_router};
 use peer::local::Client;
 use platform::Table;
+use salvo::prelude::Router;
 use serde::Serialize;
 use settings::Node;
 use std::net::SocketAddr;
@@ -63,12 +64,13 @@
         let Bound { node, caller, relay } = self;
         let listen = Listen { caller: caller.address(), relay: relay.address() };
         let key = Key::new(Arc::clone(&node.peer_key));
+        let operator_key = operator::Key::new(Arc::clone(&node.operator_key));
         let entry = new_entry(&node, &key, table, clock)?;
         let client = Client::new(key.clone(), local, node.peers.clone());
         let follower = tokio::spawn(follow(entry.clone(), client, clock));
         let listeners = [
             caller.serve(caller::router(Arc::new(entry.clone()))),
-            relay.serve(relay_router(key, Arc::new(entry.clone()))),
+            relay.serve(inside_router(key, operator_key, entry.clone())),
         ];
         Ok(Daemon { entry, follower, listeners, listen })
     }
@@ -107,6 +109,13 @@
     }
 }
 
+/// Orders that other VMs relay, and metrics for operators.
+fn inside_router(key: Key, operator_key: operator::Key, entry: Entry) -> Router {
+    Router::new()
+        .push(operator::metrics_router(operator_key))
+        .push(relay_router(key, Arc::new(entry)))
+}
+
 fn new_entry(node: &Node, key: &Key, table: Arc<dyn Table>, clock: Clock) -> Result<Entry, Error> {
     let incarnation = clock.now().0;
     let (vm, domain) = (Arc::clone(&node.vm), Arc::clone(&node.domain));
--- a/components/daemon/src/start.rs
+++ b/components/daemon/src/start.rs
@@ -1,8 +1,11 @@
+use clock::Clock;
 use errors::{Error, Kind};
 use serde::Serialize;
 use settings::Node;
+use std::io;
 use std::path::Path;
 use std::process::ExitCode;
+use telemetry::{Log, Options};
 
 /// Reads a node's own file.
 ///
@@ -16,6 +19,16 @@
     })
 }
 
+/// Starts logging and metrics; to be called after [`announce`], which prints the first line.
+///
+/// # Errors
+///
+/// [`Kind::Internal`] when the log's thread can't be started.
+pub fn open_log(options: Options, clock: Clock) -> Result<Log, Error> {
+    let failed = |cause: io::Error| Error::new(Kind::Internal, format!("can't log: {cause}"));
+    telemetry::install(options, clock).map_err(failed)
+}
+
 /// Prints where a daemon listens, as one line of JSON before any log line.
 pub fn announce<T>(listen: &T)
 where
--- a/components/operator/src/lib.rs
+++ b/components/operator/src/lib.rs
@@ -15,5 +15,5 @@
 pub use api::Api;
 pub use client::Client;
 pub use key::Key;
-pub use router::router;
+pub use router::{metrics_router, router};
 pub use wire::Refusal;
--- a/components/operator/src/router.rs
+++ b/components/operator/src/router.rs
@@ -36,6 +36,11 @@
         .push(Router::with_path("{**rest}").goal(Elsewhere))
 }
 
+/// Serves the metrics of a process that operators don't drive; the key is checked first.
+pub fn metrics_router(key: Key) -> Router {
+    Router::with_path(METRICS).hoop(key).get(Metrics)
+}
+
 /// Writes a typed refusal as the response.
 pub(crate) fn refuse(res: &mut Response, refusal: &Refusal) {
     let row = answer(refusal.kind);
--- a/src/bin/controld.rs
+++ b/src/bin/controld.rs
@@ -25,6 +25,8 @@
 
 async fn run(options: Options) -> Result<(), Error> {
     let node = daemon::load_node(&options.node)?;
+    let logging = telemetry::Options::new(&node.log_level, node.log_rate);
+    let clock = Clock::system();
     let client = platform::http::Client::new(node.platform.clone())
         .map_err(|cause| Error::new(Kind::Internal, cause.to_string()))?;
     let client = Arc::new(client);
@@ -33,9 +35,11 @@
         store: Arc::clone(&client) as _,
         directory: client,
     };
-    let daemon = Daemon::open(node, platform, Clock::system()).await?;
+    let daemon = Daemon::open(node, platform, clock).await?;
     daemon::announce(&daemon.listen());
+    let log = daemon::open_log(logging, clock)?;
     daemon::stop_requested().await?;
     daemon.close().await;
+    log.close();
     Ok(())
 }
--- a/src/bin/entryd.rs
+++ b/src/bin/entryd.rs
@@ -24,12 +24,16 @@
 
 async fn run(options: Options) -> Result<(), Error> {
     let node = daemon::load_node(&options.node)?;
+    let logging = telemetry::Options::new(&node.log_level, node.log_rate);
+    let clock = Clock::system();
     let platform = platform::http::Client::new(node.platform.clone())
         .map_err(|cause| Error::new(Kind::Internal, cause.to_string()))?;
     let local = node.local;
-    let daemon = Daemon::bind(node).await?.open(local, Arc::new(platform), Clock::system())?;
+    let daemon = Daemon::bind(node).await?.open(local, Arc::new(platform), clock)?;
     daemon::announce(&daemon.listen());
+    let log = daemon::open_log(logging, clock)?;
     daemon::stop_requested().await?;
     daemon.close().await;
+    log.close();
     Ok(())
 }
