--- a/components/steering/src/shift.rs
+++ b/components/steering/src/shift.rs
@@ -14,10 +14,10 @@
 /// The fine position after the last.
 const END: u64 = (WHOLE as u64) << DRAW_BITS;
 
-/// The part of the limit that the next slab is meant to use, so that bursts fit too.
-const FILL: f64 = 0.7;
+/// The part of the limit that the slabs under way are meant to use, so that bursts fit too.
+const FILL: f64 = 0.8;
 
-/// The most by which a slab grows from one step to the next.
+/// The most by which the slabs under way grow from one step to the next.
 const GROWTH: f64 = 4.0;
 
 /// The most changes of target that may be mixed before a shift has to end.
@@ -26,15 +26,20 @@
 const SECOND: Millis = Millis::from_secs(1);
 
 /// What one node knows of its own traffic's shift.
+///
+/// Positions below `warm` have moved. Those from `warm` to `settled` have had a step to move, and
+/// those from `settled` to `progress` are having theirs; both are under the shift cap, because
+/// caches are still cold for the blocks that came late in their step.
 #[derive(Clone, Debug)]
 pub struct Shift {
     regions: Arc<[Arc<str>]>,
     base: Vec<Track>,
     target: Aim,
     wanted: Aim,
+    warm: u64,
     settled: u64,
     progress: u64,
-    slab: u64,
+    generation: u64,
     step: Step,
     demand: Demand,
     limits: Vec<u32>,
@@ -45,6 +50,15 @@
 pub enum Route {
     /// To a region that serves this position already.
     Stay(u16),
+    /// To `to`, where the position has moved; to `old` if more arrives than `to` is warm for.
+    ///
+    /// Callers that renew at another node bring it traffic that it hasn't moved itself.
+    Moved {
+        /// The region that serves the position.
+        to: u16,
+        /// The region that served it before the shift; `None` if it is lost.
+        old: Option<u16>,
+    },
     /// To `to` if the shift limiter admits it there; else to `old`, if that can still serve.
     Move {
         /// The region that is to serve the position.
@@ -52,6 +66,8 @@
         /// The region that serves it until then; `None` if it is lost.
         old: Option<u16>,
     },
+    /// To the region that serves it until its turn to move comes.
+    Wait(u16),
     /// Nowhere yet: the region that served the position is lost and its turn to move hasn't come.
     Held,
     /// Nowhere: every region is lost.
@@ -122,9 +138,10 @@
             base: tick.plan.from.iter().map(track).collect(),
             wanted: target.clone(),
             target,
+            warm: settled,
             settled,
             progress: settled,
-            slab: 0,
+            generation: 0,
             step: Step::new(tick.now, tick.regions.len()),
             demand: Demand::default(),
             limits: tick.limits.to_vec(),
@@ -140,20 +157,20 @@
         let Some(new) = self.target.region(home, block) else {
             return Route::Lost;
         };
-        if at < self.settled {
-            return Route::Stay(new);
-        }
         match self.old(at, home, block) {
-            Some(old) if old == new || at >= self.progress => Route::Stay(old),
+            Some(old) if old == new => Route::Stay(old),
+            old if at < self.warm => Route::Moved { to: new, old },
             old if at < self.progress => Route::Move { to: new, old },
-            _ => Route::Held,
+            Some(old) => Route::Wait(old),
+            None => Route::Held,
         }
     }
 
     /// The region in which look-ups name entry VMs for `block`.
     pub fn serving(&self, home: u16, block: u32) -> u16 {
         match self.route(home, block, 0) {
-            Route::Stay(region) => region,
+            Route::Stay(region) | Route::Wait(region) => region,
+            Route::Moved { to, .. } => to,
             Route::Move { to, old } => old.unwrap_or(to),
             Route::Held | Route::Lost => self.target.region(home, block).unwrap_or(home),
         }
@@ -172,6 +189,10 @@
 
     /// Takes over a new plan or a change of the regions that are up, and ends steps.
     pub fn tick(&mut self, tick: &Tick<'_>) {
+        if self.base.is_empty() && !tick.plan.from.is_empty() {
+            let generation = self.generation + 1;
+            *self = Shift { demand: self.demand.clone(), generation, ..Shift::new(tick) };
+        }
         self.renumber(tick.regions);
         self.limits.clear();
         self.limits.extend_from_slice(tick.limits);
@@ -184,6 +205,23 @@
         if tick.now - self.step.start >= tick.step {
             self.end_step(tick);
         }
+        self.forget(tick.plan);
+    }
+
+    /// Forgets where traffic came from once every node has moved it.
+    ///
+    /// While a region is lost no node can know that of the others, so nothing is forgotten.
+    fn forget(&mut self, plan: &Plan) {
+        let ended = self.warm == END && self.wanted == self.target;
+        if ended && plan.is_settled() && self.target.lost == Regions::NONE {
+            self.base.clear();
+            self.base.push(Track { until: END, aim: self.target.clone() });
+        }
+    }
+
+    /// Rises whenever a shift starts at this node.
+    pub fn generation(&self) -> u64 {
+        self.generation
     }
 
     /// How much of the plan's shift this node has done, in units of [`WHOLE`].
@@ -191,11 +229,11 @@
         if self.target.split != self.wanted.split {
             return 0;
         }
-        (self.settled >> DRAW_BITS) as u32
+        (self.warm >> DRAW_BITS) as u32
     }
 
     fn is_closed(&self) -> bool {
-        self.settled == self.progress
+        self.warm == self.progress
     }
 
     fn old(&self, at: u64, home: u16, block: u32) -> Option<u16> {
@@ -206,8 +244,8 @@
 
     /// Starts a shift to the wanted target from where this node serves its traffic now.
     fn rebase(&mut self, tick: &Tick<'_>) {
-        let mut base = vec![Track { until: self.settled, aim: self.target.clone() }];
-        base.extend(self.base.drain(..).filter(|track| track.until > self.settled));
+        let mut base = vec![Track { until: self.warm, aim: self.target.clone() }];
+        base.extend(self.base.drain(..).filter(|track| track.until > self.warm));
         base.retain(|track| track.until > 0);
         base.dedup_by(|later, earlier| {
             let same = later.aim == earlier.aim;
@@ -216,35 +254,49 @@
         });
         self.base = base;
         self.target = self.wanted.clone();
+        self.generation += 1;
+        self.warm = 0;
         self.settled = 0;
         self.progress = 0;
         self.open(self.guess(), tick);
     }
 
+    /// Lets the slabs of the last step go on, or takes the newest one back by half if some of its
+    /// requests had to wait.
     fn end_step(&mut self, tick: &Tick<'_>) {
         if self.step.deferred {
-            let slab = (self.progress - self.settled) / 2;
-            self.open(slab, tick);
+            self.shrink();
+            self.step = Step::new(tick.now, tick.regions.len());
             return;
         }
+        let zone = self.progress - self.warm;
+        self.warm = self.settled;
         self.settled = self.progress;
-        if self.settled == END {
-            self.base = vec![Track { until: END, aim: self.target.clone() }];
-        }
-        if self.wanted != self.target && self.base.len() < MAX_SEGMENTS {
+        let changed = self.wanted != self.target && self.base.len() < MAX_SEGMENTS;
+        if changed && self.is_closed() {
             self.rebase(tick);
             return;
         }
-        let slab = match self.step.peak {
+        let fitting = match self.step.peak {
             0.0 => self.guess(),
-            peak => (self.slab as f64 * (FILL / peak).min(GROWTH)) as u64,
+            peak => (zone as f64 * (FILL / peak).min(GROWTH)) as u64,
         };
+        let slab = if changed { 0 } else { fitting.saturating_sub(self.settled - self.warm) };
         self.open(slab, tick);
     }
 
+    fn shrink(&mut self) {
+        if self.progress > self.settled {
+            self.progress -= (self.progress - self.settled).div_ceil(2);
+        } else {
+            self.settled -= (self.settled - self.warm) / 2;
+            self.progress = self.settled;
+        }
+    }
+
     fn open(&mut self, slab: u64, tick: &Tick<'_>) {
-        self.slab = slab.max(1);
-        self.progress = (self.settled + self.slab).min(END);
+        let least = if self.is_closed() && self.wanted == self.target { 1 } else { 0 };
+        self.progress = (self.settled + slab.max(least)).min(END);
         self.step = Step::new(tick.now, tick.regions.len());
     }
 
