--- /dev/null
+++ b/components/errors/tests/page.rs
@@ -0,0 +1,42 @@
+//! docs/ERRORS.md has the table as the code has it.
+
+use errors::{Kind, answer};
+use std::fs;
+use std::path::Path;
+
+fn row(kind: Kind) -> String {
+    let answer = answer(kind);
+    let retry = answer.retry_after.map_or("-".into(), |span| format!("{} s", span.0 / 1000));
+    let name = snake(&format!("{kind:?}"));
+    format!(
+        "| `{name}` | {} | `{}` | {retry} | {} |",
+        answer.status,
+        answer.ran.as_str(),
+        answer.exit
+    )
+}
+
+fn snake(name: &str) -> String {
+    let mut text = String::new();
+    for c in name.chars() {
+        if c.is_ascii_uppercase() && !text.is_empty() {
+            text.push('_');
+        }
+        text.push(c.to_ascii_lowercase());
+    }
+    text
+}
+
+#[test]
+fn the_page_has_the_row_of_every_kind_and_no_other() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/ERRORS.md");
+    let page = fs::read_to_string(page).unwrap();
+    let written: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .map(|line| line.rsplit_once(" | ").map_or(line, |(row, _)| row))
+        .collect();
+    let expected: Vec<String> =
+        Kind::ALL.iter().map(|kind| row(*kind).trim_end_matches(" |").to_owned()).collect();
+    assert_eq!(written, expected);
+}
