--- a/components/control/src/control.rs
+++ b/components/control/src/control.rs
@@ -76,6 +76,8 @@
     tasks.spawn(async move { runner.report_load().await });
     let runner = Arc::clone(&agent);
     tasks.spawn(async move { runner.plan().await });
+    let runner = Arc::clone(&agent);
+    tasks.spawn(async move { runner.measure().await });
     while tasks.join_next().await.is_some() {}
 }
 
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod spread;
 mod state;
 mod tenure;
+mod trace;
 
 pub use agent::Agent;
 pub use config::{Config, Platform};
--- a/components/control/src/tenure.rs
+++ b/components/control/src/tenure.rs
@@ -1,6 +1,6 @@
-use crate::Agent;
 use crate::config::PLATFORM_TIMEOUT;
 use crate::rows::{self, Lease, LeaseRow, PLAN, PLANNER, PlanRow};
+use crate::{Agent, trace};
 use clock::Millis;
 use platform::{Check, Commit, Failure, Transaction, Write};
 use std::sync::Arc;
@@ -118,7 +118,7 @@
         let _ = self.write(&mut tenure, lease, None).await;
     }
 
-    fn is_own(&self, lease: &Lease) -> bool {
+    pub(crate) fn is_own(&self, lease: &Lease) -> bool {
         lease.holder == self.config.node.vm && lease.incarnation == self.config.incarnation
     }
 
@@ -161,6 +161,7 @@
         tenure.lease.value = lease;
         self.state().sight_lease(tenure.lease.clone(), now);
         let Some(plan) = plan else { return };
+        trace::placed(&tenure.plan.value, &plan);
         tenure.planned = now;
         tenure.plan.version += 1;
         tenure.plan.transaction = Arc::clone(id);
@@ -180,6 +181,9 @@
         let (Ok(lease), Ok(plan)) = (lease, plan) else { return Written::NotYet };
         let now = self.config.clock.now();
         if lease.transaction == id {
+            if plan.transaction == id {
+                trace::placed(&tenure.plan.value, &plan.value);
+            }
             tenure.unsettled = None;
             tenure.renewed = now;
             tenure.lease = lease.clone();
--- /dev/null
+++ b/components/control/src/trace.rs
@@ -0,0 +1,112 @@
+//! What is logged and measured of the control plane.
+
+use crate::Agent;
+use crate::state::State;
+use clock::Millis;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use steering::Plan;
+use telemetry::{Action, Decision, names};
+
+/// Time between two measurements.
+const PERIOD: Millis = Millis(1000);
+
+/// The states of machines, so that a state that nobody is in any more is measured as 0.
+const STATES: [steering::State; 3] =
+    [steering::State::Live, steering::State::Suspect, steering::State::Leaving];
+
+/// Logs a plan that this VM has committed as the planner.
+pub(crate) fn placed(old: &Plan, new: &Plan) {
+    telemetry::decide(&Decision {
+        action: Action::Place,
+        request: "",
+        block: None,
+        service: "",
+        choice: &describe(new),
+        reason: reason(old, new),
+        epoch: new.epoch,
+        sequence: new.sequence,
+        version: new.version,
+    });
+}
+
+fn describe(plan: &Plan) -> String {
+    let members = plan.members.len();
+    let settled = u64::from(plan.settled) * 100 / u64::from(steering::WHOLE);
+    format!("shift {} settled {settled} %, {members} entry VMs", plan.shift)
+}
+
+fn reason(old: &Plan, new: &Plan) -> &'static str {
+    if new.version != old.version {
+        "another configuration"
+    } else if new.shift != old.shift {
+        "another split of traffic"
+    } else if new.settled != old.settled {
+        "the shift went on"
+    } else {
+        "other entry VMs or shares"
+    }
+}
+
+impl Agent {
+    /// Measures this node's state, for as long as it runs.
+    pub(crate) async fn measure(&self) {
+        loop {
+            self.measure_once();
+            self.config.clock.sleep(PERIOD).await;
+        }
+    }
+
+    fn measure_once(&self) {
+        let now = self.config.clock.now();
+        let state = self.state();
+        let stamp = state.stamp();
+        metrics::gauge!(names::VERSION).set(stamp.version as f64);
+        metrics::gauge!(names::PLAN_EPOCH).set(stamp.epoch as f64);
+        metrics::gauge!(names::PLAN_SEQUENCE).set(stamp.sequence as f64);
+        metrics::gauge!(names::PLANNER).set(f64::from(u8::from(self.is_planner(&state))));
+        metrics::gauge!(names::PLATFORM_UP).set(f64::from(u8::from(state.platform_up)));
+        if let Some(heard) = &state.report {
+            let lag = (now - heard.at).as_secs_f64();
+            metrics::gauge!(names::LAG, names::SOURCE => "entryd").set(lag);
+        }
+        measure_vms(&state);
+        measure_upstreams(&state, now);
+    }
+
+    fn is_planner(&self, state: &State) -> bool {
+        state.lease.as_ref().is_some_and(|seen| self.is_own(&seen.row.value))
+    }
+}
+
+fn measure_vms(state: &State) {
+    let vms = state.roster.vms();
+    for each in STATES {
+        let count = vms.iter().filter(|vm| vm.state == each).count();
+        metrics::gauge!(names::VMS, names::STATE => name(each)).set(count as f64);
+    }
+}
+
+fn measure_upstreams(state: &State, now: Millis) {
+    let mut services: BTreeMap<Arc<str>, [usize; 3]> = BTreeMap::new();
+    for upstream in state.roster.upstreams(now) {
+        let counts = services.entry(upstream.service).or_default();
+        let at = STATES.iter().position(|each| *each == upstream.state);
+        counts[at.unwrap_or_default()] += 1;
+    }
+    for (service, counts) in services {
+        for (each, count) in STATES.iter().zip(counts) {
+            let service = service.to_string();
+            metrics::gauge!(names::UPSTREAMS, names::SERVICE => service, names::STATE => name(*each))
+                .set(count as f64);
+        }
+    }
+}
+
+const fn name(state: steering::State) -> &'static str {
+    match state {
+        steering::State::Live => "live",
+        steering::State::Suspect => "suspect",
+        steering::State::Leaving => "leaving",
+    }
+}
--- a/components/telemetry/src/names.rs
+++ b/components/telemetry/src/names.rs
@@ -40,14 +40,12 @@
 pub const PLANNER: &str = "heatherbend_planner";
 /// Time since a source was last heard, by source.
 pub const LAG: &str = "heatherbend_lag_seconds";
-/// Operations on the platform, by operation and outcome.
-pub const PLATFORM: &str = "heatherbend_platform_operations_total";
+/// 1 when the platform answered this node last time, 0 when it didn't.
+pub const PLATFORM_UP: &str = "heatherbend_platform_up";
 /// Upstreams known, by service and state.
 pub const UPSTREAMS: &str = "heatherbend_upstreams";
 /// Entry VMs known, by state.
 pub const VMS: &str = "heatherbend_entry_vms";
-/// Bytes sent to peers.
-pub const PEER_BYTES: &str = "heatherbend_peer_bytes_total";
 /// Acts of operators, by act and outcome.
 pub const ACTS: &str = "heatherbend_operator_acts_total";
 /// Connections refused for a wrong key, by listener.
@@ -98,10 +96,9 @@
     describe_gauge!(PLAN_SEQUENCE, "The sequence of the plan in force at this node");
     describe_gauge!(PLANNER, "1 at the node that holds the planner's lease, 0 elsewhere");
     describe_gauge!(LAG, Unit::Seconds, "Time since a source was last heard");
-    describe_counter!(PLATFORM, "Operations on the platform, by operation and outcome");
+    describe_gauge!(PLATFORM_UP, "1 when the platform answered this node last time, 0 else");
     describe_gauge!(UPSTREAMS, "Upstreams known, by service and state");
     describe_gauge!(VMS, "Entry VMs known, by state");
-    describe_counter!(PEER_BYTES, Unit::Bytes, "Bytes sent to peers");
     describe_counter!(ACTS, "Acts of operators, by act and outcome");
     describe_counter!(UNAUTHORIZED, "Connections refused for a wrong key");
     describe_counter!(LOG_DROPPED, "Log lines dropped because the queue was full");
