Carry demand by region from the entry to the planner

Cause: shares are per region now, so the report's own-region/elsewhere split lost what the planner needs. Ruled out: deriving it from the roster, since demand is the callers' choice.

--- a/components/control/src/fake/entry.rs
+++ b/components/control/src/fake/entry.rs
@@ -141,6 +141,7 @@
             leaving: state.leaving,
             in_flight: 0,
             demand: vec![Demand { region: region.into(), rate: f64::from(DEMAND) }],
+            moving: 0,
             leaving_upstreams: Vec::new(),
         }
     }
--- a/components/control/src/load.rs
+++ b/components/control/src/load.rs
@@ -35,6 +35,7 @@
             sequence: report.sequence,
             shift: report.shift,
             settled: report.settled,
+            moving: report.moving,
             demand: report.demand.clone(),
         };
         let holder = Arc::clone(&state.lease.as_ref()?.row.value.holder);
--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -2,9 +2,9 @@
 use crate::state::{Installed, State};
 use crate::tenure::{Tenure, Written};
 use clock::Millis;
-use peer::local::Demand;
 use peer::message::{Load, Record};
 use rand::RngExt;
+use settings::Region;
 use std::sync::Arc;
 use steering::planner::{Ack, Input, Report, next};
 use steering::{Plan, Stamp};
@@ -15,6 +15,9 @@
 /// Bytes a second that plans may cost each node.
 const PLAN_BYTES_PER_SECOND: u64 = 2000;
 
+/// The region of a member of which nothing but its share is known.
+const UNKNOWN_REGION: u16 = u16::MAX;
+
 /// Bytes of a plan for each of its members, encoded.
 const MEMBER_BYTES: u64 = 32;
 
@@ -98,7 +101,7 @@
         });
         reports.extend(silent.map(|member| Report {
             vm: Arc::clone(&member.vm),
-            region: member.region,
+            region: UNKNOWN_REGION,
             state: steering::State::Suspect,
             ack: None,
             demand: steering::planner::Demand::default(),
@@ -116,9 +119,7 @@
             region: at as u16,
             state: record.vm.state,
             ack: load.map(ack_of),
-            demand: load.map_or_else(Default::default, |load| {
-                split_demand(&load.demand, &regions[at].name)
-            }),
+            demand: load.map(|load| demand_of(load, regions)).unwrap_or_default(),
         })
     }
 }
@@ -128,15 +129,11 @@
     Ack { stamp, shift: load.shift, settled: load.settled }
 }
 
-fn split_demand(demand: &[Demand], home: &str) -> steering::planner::Demand {
-    let mut split = steering::planner::Demand::default();
-    for part in demand {
-        let rate = part.rate.round() as u32;
-        if *part.region == *home {
-            split.home = split.home.saturating_add(rate);
-        } else {
-            split.away = split.away.saturating_add(rate);
-        }
-    }
-    split
+/// The demand of `load` in the order of the deployment's `regions`.
+fn demand_of(load: &Load, regions: &[Region]) -> steering::planner::Demand {
+    let rate = |region: &Region| {
+        let parts = load.demand.iter().filter(|part| part.region == region.name);
+        parts.map(|part| part.rate.round() as u32).sum()
+    };
+    steering::planner::Demand { regions: regions.iter().map(rate).collect(), moving: load.moving }
 }
--- a/components/daemon/src/entryd.rs
+++ b/components/daemon/src/entryd.rs
@@ -89,9 +89,9 @@
         Ok(Bound { node, caller, relay })
     }
 
-    /// Whether a snapshot is in force that names at least `vms` entry VMs.
+    /// Whether a snapshot is in force whose plan gives shares to at least `vms` entry VMs.
     pub fn is_ready(&self, vms: usize) -> bool {
-        self.entry.snapshot().is_some_and(|snapshot| snapshot.vms.len() >= vms)
+        self.entry.snapshot().is_some_and(|snapshot| snapshot.plan.members.len() >= vms)
     }
 
     /// Where the daemon listens.
--- a/components/entry/src/limits.rs
+++ b/components/entry/src/limits.rs
@@ -145,7 +145,9 @@
             preset: &snapshot.preset,
             drains: &snapshot.drains,
         };
-        let limits = share::limits(&snapshot.plan, caps, &self.vm, now);
+        let home = steering::region_of(&snapshot.deployment, &self.domain);
+        let home = home.map_or("", |region| &*region.name);
+        let limits = share::limits(&snapshot.plan, caps, &self.vm, home, now);
         let mut old = std::mem::take(&mut self.links);
         for (name, limit) in view.index.regions().iter().zip(&limits.links) {
             let mut link = Link::kept(&mut old, name);
--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -39,22 +39,16 @@
         sequence: ack.stamp.sequence,
         shift: ack.shift,
         settled: ack.settled,
-        demand: by_region(core, view, demand),
+        demand: by_region(view, &demand),
+        moving: demand.moving,
         ..report
     }
 }
 
-// The planner only tells a VM's own region from all others, so those count as the nearest one.
-fn by_region(core: &Core, view: &View, demand: steering::planner::Demand) -> Vec<Demand> {
-    let Some(own) = view.region_of(&core.config.domain) else {
-        return Vec::new();
+fn by_region(view: &View, demand: &steering::planner::Demand) -> Vec<Demand> {
+    let rate = |(region, rate): (&Arc<str>, &u32)| Demand {
+        region: Arc::clone(region),
+        rate: f64::from(*rate),
     };
-    let names = view.index.regions();
-    let rates = [demand.home, demand.away];
-    let nearest = view.index.nearest(own).iter().zip(rates);
-    let rate = |(region, rate): (&u16, u32)| Demand {
-        region: Arc::clone(&names[usize::from(*region)]),
-        rate: f64::from(rate),
-    };
-    nearest.map(rate).collect()
+    view.index.regions().iter().zip(&demand.regions).map(rate).collect()
 }
--- a/components/peer/src/local.rs
+++ b/components/peer/src/local.rs
@@ -56,6 +56,8 @@
     pub in_flight: u32,
     /// Requests a second that it was asked for, by destination region.
     pub demand: Vec<Demand>,
+    /// Requests a second that a shift is still to move.
+    pub moving: u32,
     /// Upstreams that told it they are leaving.
     pub leaving_upstreams: Vec<Arc<str>>,
 }
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -130,6 +130,8 @@
     pub settled: u32,
     /// Requests a second that the node was asked for, admitted or not, by destination region.
     pub demand: Vec<Demand>,
+    /// Requests a second that a shift is still to move.
+    pub moving: u32,
 }
 
 /// What a reply brings.
--- a/src/cmd/trial/world.rs
+++ b/src/cmd/trial/world.rs
@@ -20,6 +20,8 @@
 const SERVICE_SHORT: Millis = Millis(5);
 const SERVICE_LONG: Millis = Millis(50);
 const QUEUE_PER_SLOT: u32 = 64;
+/// A node admits nothing under a share before its first window has passed.
+const FIRST_WINDOW: Millis = Millis::from_secs(1);
 const POLL: Millis = Millis(50);
 const READY_LIMIT: Millis = Millis::from_secs(30);
 const CLOSE_PATIENCE: Millis = Millis(500);
@@ -145,11 +147,12 @@
         accepted.map(drop).map_err(|refusal| Error::new(refusal.kind, refusal.context))
     }
 
-    /// Waits until every entry VM has a snapshot that names all of them.
+    /// Waits until every entry VM has a snapshot that gives shares to all of them.
     async fn wait_until_ready(&self) -> Result<(), Error> {
         let limit = self.clock.now() + READY_LIMIT;
         while self.clock.now() < limit {
             if self.nodes.iter().all(|node| node.entryd.is_ready(self.nodes.len())) {
+                self.clock.sleep(FIRST_WINDOW).await;
                 return Ok(());
             }
             self.clock.sleep(POLL).await;
