--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -15,7 +15,9 @@
 /// Bytes a second that plans may cost each node.
 const PLAN_BYTES_PER_SECOND: u64 = 2000;
 
-/// The region of a member of which nothing but its share is known.
+/// The region of a VM whose failure domain is unknown here or isn't in the deployment.
+///
+/// It is reported all the same, because a VM without a report counts as gone and loses its shares.
 const UNKNOWN_REGION: u16 = u16::MAX;
 
 /// Bytes of a plan for each of its members, encoded.
@@ -95,7 +97,7 @@
     fn reports(&self, installed: &Installed, old: &Plan) -> Vec<Report> {
         let records = self.roster.records();
         let mut reports: Vec<Report> =
-            records.iter().filter_map(|record| self.report_of(record, installed)).collect();
+            records.iter().map(|record| self.report_of(record, installed)).collect();
         let silent = old.members.iter().filter(|member| {
             self.roster.get(&member.vm).is_none() && !self.roster.is_gone(&member.vm)
         });
@@ -110,17 +112,17 @@
         reports
     }
 
-    fn report_of(&self, record: &Record, installed: &Installed) -> Option<Report> {
+    fn report_of(&self, record: &Record, installed: &Installed) -> Report {
         let regions = &installed.declaration.deployment.regions;
-        let at = regions.iter().position(|region| region.domains.contains(&record.vm.domain))?;
+        let at = regions.iter().position(|region| region.domains.contains(&record.vm.domain));
         let load = self.loads.get(&record.vm.name);
-        Some(Report {
+        Report {
             vm: Arc::clone(&record.vm.name),
-            region: at as u16,
+            region: at.map_or(UNKNOWN_REGION, |at| at as u16),
             state: record.vm.state,
             ack: load.map(ack_of),
             demand: load.map(|load| demand_of(load, regions)).unwrap_or_default(),
-        })
+        }
     }
 }
 
--- a/components/steering/tests/sessions.rs
+++ b/components/steering/tests/sessions.rs
@@ -28,6 +28,10 @@
     match step.verb.as_str() {
         "demand" => fleet.demand(option(step, "rate")?.parse()?),
         "shares" => fleet.shares(shares(option(step, "parts")?)?),
+        "cap" => {
+            let rate = option(step, "rate")?.parse()?;
+            fleet.preset(|preset| preset.shift_cap = rate);
+        }
         "planner" => match option(step, "state")? {
             "replaced" => fleet.replace_planner(),
             state => fleet.planner(is_on(state)?),
