Keep callers with a lost region's VMs until their blocks have moved

Look-ups sent the callers of a lost region to VMs that had nothing to move so far, and so hardly a share of the shift cap. Ruled out: the same for blocks that have moved, since an outage of an hour would keep all of them on the links.

--- a/components/steering/src/shift.rs
+++ b/components/steering/src/shift.rs
@@ -178,12 +178,17 @@
     }
 
     /// The region in which look-ups name entry VMs for `block`.
+    ///
+    /// Callers stay with the VMs of a region that is lost or being left until their block has
+    /// moved, since those VMs have the shares to move it; if the VMs are lost too, the look-up goes
+    /// on to the next region by itself.
     pub fn serving(&self, home: u16, block: u32) -> u16 {
-        match self.route(home, block, 0) {
-            Route::Stay(region) | Route::Wait(region) => region,
-            Route::Moved { to, .. } => to,
-            Route::Move { to, old } => old.unwrap_or(to),
-            Route::Held | Route::Lost => self.target.region(home, block).unwrap_or(home),
+        let at = fine(position(block));
+        let moved = self.target.region(home, block).unwrap_or(home);
+        let track = self.base.iter().find(|track| at < track.until);
+        match track.and_then(|track| track.aim.region(home, block)) {
+            Some(old) if at >= self.warm => old,
+            _ => moved,
         }
     }
 
