--- a/components/bench/src/scene.rs
+++ b/components/bench/src/scene.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// The round trip to the platform's table from a neighbouring region.
+    pub fn store_round_trip(self) -> Millis {
+        let delay = self.links()[0].delay;
+        delay + delay
+    }
+
     /// The snapshot that every entry VM holds.
     pub fn snapshot(self) -> Snapshot {
         let mut snapshot = sample::snapshot(sample::Size::TODAY);
