--- a/components/steering/src/shift.rs
+++ b/components/steering/src/shift.rs
@@ -40,6 +40,8 @@
     settled: u64,
     progress: u64,
     generation: u64,
+    started: Millis,
+    moving: f64,
     step: Step,
     demand: Demand,
     limits: Vec<u32>,
@@ -85,8 +87,12 @@
     pub down: Regions,
     /// The node's shift limit into each region, in requests a second.
     pub limits: &'a [u32],
+    /// The shift cap into a region over all nodes, in requests a second.
+    pub cap: u32,
     /// How long a slab must serve before the next one moves.
     pub step: Millis,
+    /// The longest lease of a caller.
+    pub lease: Millis,
     /// The time.
     pub now: Millis,
 }
@@ -103,6 +109,8 @@
 struct Track {
     until: u64,
     aim: Aim,
+    /// Regions that were lost since, so that their caches are cold though they may be back.
+    cold: Regions,
 }
 
 /// What happened to the slab since the step began.
@@ -130,6 +138,7 @@
         let track = |segment: &crate::Segment| Track {
             until: fine(segment.until),
             aim: Aim { split: renumber(&segment.split), lost: Regions::NONE },
+            cold: Regions::NONE,
         };
         let target = Aim { split: renumber(&tick.plan.to), lost: Regions::NONE };
         let settled = fine(tick.plan.settled);
@@ -142,6 +151,8 @@
             settled,
             progress: settled,
             generation: 0,
+            started: tick.now,
+            moving: 1.0,
             step: Step::new(tick.now, tick.regions.len()),
             demand: Demand::default(),
             limits: tick.limits.to_vec(),
@@ -181,7 +192,10 @@
         self.demand.count(now);
     }
 
-    /// Counts an attempt to move a request to `to` and whether the shift limiter admitted it.
+    /// Counts an attempt to move a request to `to` and whether the shift cap admitted it.
+    ///
+    /// A request that finds `to` full isn't an attempt: it stays with its old region whether or not
+    /// the position has moved, and the shift may go on.
     pub fn attempt(&mut self, to: u16, admitted: bool, now: Millis) {
         self.step.count(to, &self.limits, now);
         self.step.deferred |= !admitted;
@@ -205,17 +219,19 @@
         if tick.now - self.step.start >= tick.step {
             self.end_step(tick);
         }
-        self.forget(tick.plan);
+        self.forget(tick);
     }
 
-    /// Forgets where traffic came from once every node has moved it.
+    /// Forgets where traffic came from once every node has moved it and every caller has renewed.
     ///
     /// While a region is lost no node can know that of the others, so nothing is forgotten.
-    fn forget(&mut self, plan: &Plan) {
+    fn forget(&mut self, tick: &Tick<'_>) {
         let ended = self.warm == END && self.wanted == self.target;
-        if ended && plan.is_settled() && self.target.lost == Regions::NONE {
+        let renewed = tick.now - self.started >= tick.lease;
+        if ended && renewed && tick.plan.is_settled() && self.target.lost == Regions::NONE {
             self.base.clear();
-            self.base.push(Track { until: END, aim: self.target.clone() });
+            let cold = Regions::NONE;
+            self.base.push(Track { until: END, aim: self.target.clone(), cold });
         }
     }
 
@@ -239,59 +255,58 @@
     fn old(&self, at: u64, home: u16, block: u32) -> Option<u16> {
         let track = self.base.iter().find(|track| at < track.until)?;
         let old = track.aim.region(home, block)?;
-        (!self.wanted.lost.contains(old)).then_some(old)
+        let lost = self.wanted.lost.union(self.target.lost).union(track.cold);
+        (!lost.contains(old)).then_some(old)
     }
 
     /// Starts a shift to the wanted target from where this node serves its traffic now.
     fn rebase(&mut self, tick: &Tick<'_>) {
-        let mut base = vec![Track { until: self.warm, aim: self.target.clone() }];
+        let moved = Track { until: self.warm, aim: self.target.clone(), cold: Regions::NONE };
+        let mut base = vec![moved];
         base.extend(self.base.drain(..).filter(|track| track.until > self.warm));
         base.retain(|track| track.until > 0);
+        base.iter_mut().for_each(|track| track.cold = track.cold.union(self.target.lost));
         base.dedup_by(|later, earlier| {
-            let same = later.aim == earlier.aim;
+            let same = later.aim == earlier.aim && later.cold == earlier.cold;
             earlier.until = if same { later.until } else { earlier.until };
             same
         });
+        self.moving =
+            base.iter().map(|track| track.aim.moved_part(&self.wanted)).fold(0.0, f64::max);
         self.base = base;
         self.target = self.wanted.clone();
         self.generation += 1;
+        self.started = tick.now;
         self.warm = 0;
         self.settled = 0;
         self.progress = 0;
-        self.open(self.guess(), tick);
+        self.open(self.guess().min(self.pace(tick)), tick);
     }
 
-    /// Lets the slabs of the last step go on, or takes the newest one back by half if some of its
-    /// requests had to wait.
+    /// Lets the slabs of the last step go on, or takes some of them back if requests had to wait.
     fn end_step(&mut self, tick: &Tick<'_>) {
-        if self.step.deferred {
-            self.shrink();
-            self.step = Step::new(tick.now, tick.regions.len());
-            return;
-        }
-        let zone = self.progress - self.warm;
-        self.warm = self.settled;
-        self.settled = self.progress;
         let changed = self.wanted != self.target && self.base.len() < MAX_SEGMENTS;
-        if changed && self.is_closed() {
-            self.rebase(tick);
-            return;
-        }
+        let zone = self.progress - self.warm;
         let fitting = match self.step.peak {
             0.0 => self.guess(),
             peak => (zone as f64 * (FILL / peak).min(GROWTH)) as u64,
         };
-        let slab = if changed { 0 } else { fitting.saturating_sub(self.settled - self.warm) };
-        self.open(slab, tick);
-    }
-
-    fn shrink(&mut self) {
-        if self.progress > self.settled {
-            self.progress -= (self.progress - self.settled).div_ceil(2);
+        let fitting = fitting.min(self.pace(tick));
+        if self.step.deferred {
+            let kept = if changed { 0 } else { fitting.min(zone / 2) };
+            self.progress = self.warm + kept;
+            self.settled = self.settled.min(self.progress);
         } else {
-            self.settled -= (self.settled - self.warm) / 2;
-            self.progress = self.settled;
+            self.warm = self.settled;
+            self.settled = self.progress;
         }
+        if changed && self.is_closed() {
+            self.rebase(tick);
+            return;
+        }
+        let more = !changed && !self.step.deferred;
+        let slab = fitting.saturating_sub(self.settled - self.warm);
+        self.open(if more { slab } else { self.progress - self.settled }, tick);
     }
 
     fn open(&mut self, slab: u64, tick: &Tick<'_>) {
@@ -300,6 +315,16 @@
         self.step = Step::new(tick.now, tick.regions.len());
     }
 
+    /// The slabs that fit the cap over all nodes.
+    ///
+    /// A node with little to move keeps to it too, because its look-ups send the callers of others
+    /// to where the position has moved.
+    fn pace(&self, tick: &Tick<'_>) -> u64 {
+        let moving = f64::from(tick.plan.demand) * self.moving;
+        let part = FILL * f64::from(tick.cap) / moving.max(1.0);
+        (END as f64 * part.min(1.0)) as u64
+    }
+
     /// A slab that fits if requests are spread evenly and all of them move to one region.
     fn guess(&self) -> u64 {
         let limit = self.limits.iter().copied().filter(|limit| *limit > 0).min().unwrap_or(0);
@@ -312,6 +337,7 @@
         if self.regions == *regions {
             return;
         }
+        self.base.iter_mut().for_each(|track| track.cold = Regions::NONE);
         let aims = self.base.iter_mut().map(|track| &mut track.aim);
         for aim in aims.chain([&mut self.target]) {
             aim.split = aim.split.renumber(&self.regions, regions);
@@ -327,6 +353,29 @@
     }
 }
 
+impl Aim {
+    /// The part of the traffic that is served elsewhere under `other`, if all home regions have as
+    /// much.
+    fn moved_part(&self, other: &Aim) -> f64 {
+        let rows = self.split.rows.iter().zip(&other.split.rows);
+        let parts = rows.map(|(old, new)| {
+            let (old, new) = (self.parts(old), other.parts(new));
+            let gains = old.iter().zip(&new).map(|(old, new)| (new - old).max(0.0));
+            gains.sum::<f64>()
+        });
+        parts.sum::<f64>() / self.split.rows.len().max(1) as f64
+    }
+
+    fn parts(&self, row: &[u32]) -> Vec<f64> {
+        let weight = |(region, weight): (usize, &u32)| {
+            if self.lost.contains(region as u16) { 0.0 } else { f64::from(*weight) }
+        };
+        let weights: Vec<f64> = row.iter().enumerate().map(weight).collect();
+        let sum = weights.iter().sum::<f64>().max(1.0);
+        weights.iter().map(|weight| weight / sum).collect()
+    }
+}
+
 impl Step {
     fn new(start: Millis, regions: usize) -> Step {
         let attempts = vec![0; regions];
--- a/src/output.rs
+++ b/src/output.rs
@@ -127,7 +127,8 @@
         lines.push("look at it with `heatherbend status`, then decide again".into());
     }
     if let Some(operation) = &refusal.operation {
-        lines.push(format!("ask with `heatherbend status --operation {operation}`"));
+        lines.push(format!("ask with `heatherbend status --operation {operation}`, or repeat the"));
+        lines.push(format!("same command with --operation {operation}: it takes effect once"));
     }
     if let Some(span) = row.retry_after {
         lines.push(format!("come back in {} s", span.0.div_ceil(1000)));
