Measure the spread of configuration; drop old news early

The fleet experiment drives real agents over the in-memory network. A change that a peer turns out to know is passed on less, and records from the list or a roster aren't passed on, since everybody reads them there.

--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -5,9 +5,11 @@
 mod blocking;
 mod experiment;
 mod fake;
+mod fleet;
 mod queue;
 mod scene;
 mod serving;
+mod spread;
 mod stragglers;
 mod table;
 
--- a/components/bench/src/scene.rs
+++ b/components/bench/src/scene.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// One-way delay between regions.
+    pub fn link_delay(self) -> Millis {
+        match self {
+            Scene::Maalwerk => Millis(12),
+            Scene::Lumiere => Millis(55),
+        }
+    }
+
     fn domain_delay(self) -> Millis {
         match self {
             Scene::Maalwerk => Millis(5),
--- a/components/control/src/bootstrap.rs
+++ b/components/control/src/bootstrap.rs
@@ -34,7 +34,7 @@
             let Ok(Body::Roster(records)) = answer else { continue };
             let mut state = self.state();
             for record in records {
-                state.roster.merge(record);
+                state.roster.adopt(record);
             }
             reached.push(peer);
         }
--- a/components/control/src/fake/entry.rs
+++ b/components/control/src/fake/entry.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use steering::sample;
-use steering::{Snapshot, WHOLE};
+use steering::{Plan, Snapshot, Stamp, WHOLE};
 use tokio::task::JoinHandle;
 
 /// What the stand-in `entryd` processes of a fleet were given, in order.
@@ -25,8 +25,14 @@
     pub vm: usize,
     /// The incarnation of the `entryd`.
     pub incarnation: u64,
-    /// The snapshot.
-    pub snapshot: Arc<Snapshot>,
+    /// The configuration version.
+    pub version: u64,
+    /// The preset in force.
+    pub preset: Arc<str>,
+    /// The plan.
+    pub plan: Stamp,
+    /// The digest of the plan's encoded form.
+    pub plan_digest: blake3::Hash,
 }
 
 impl Seen {
@@ -34,8 +40,16 @@
         Seen { clock, sights: Arc::default() }
     }
 
-    fn add(&self, vm: usize, incarnation: u64, snapshot: Arc<Snapshot>) {
-        let sight = Sight { at: self.clock.now(), vm, incarnation, snapshot };
+    fn add(&self, vm: usize, incarnation: u64, snapshot: &Snapshot) {
+        let sight = Sight {
+            at: self.clock.now(),
+            vm,
+            incarnation,
+            version: snapshot.version,
+            preset: Arc::clone(&snapshot.preset.name),
+            plan: snapshot.plan.stamp(),
+            plan_digest: digest(&snapshot.plan),
+        };
         self.sights().push(sight);
     }
 
@@ -49,6 +63,11 @@
     }
 }
 
+/// The digest of a plan's encoded form.
+pub fn digest(plan: &Plan) -> blake3::Hash {
+    blake3::hash(&rmp_serde::to_vec(plan).unwrap_or_default())
+}
+
 /// A stand-in `entryd`: it takes snapshots and reports, and decides nothing.
 pub(super) struct Entry {
     runner: Arc<Runner>,
@@ -151,7 +170,7 @@
             Some(held) => Arc::new(merge(&held.snapshot, &issue.snapshot)),
             None => issue.snapshot,
         };
-        self.seen.add(self.number, self.incarnation, Arc::clone(&snapshot));
+        self.seen.add(self.number, self.incarnation, &snapshot);
         state.held = Some(Issue { stamp: issue.stamp, snapshot });
     }
 
--- a/components/control/src/gossip.rs
+++ b/components/control/src/gossip.rs
@@ -1,6 +1,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// Transmissions that are saved when a peer turns out to have a change already.
+const KNOWN_COST: u32 = 2;
+
 /// Names of changes that still have to be passed on, with the times left for each.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
@@ -18,6 +21,15 @@
         self.left.is_empty()
     }
 
+    /// Counts a peer that had `name` already, so that old news is dropped early.
+    pub(crate) fn heard(&mut self, name: &str) {
+        let Some(left) = self.left.get_mut(name) else { return };
+        *left = left.saturating_sub(KNOWN_COST);
+        if *left == 0 {
+            self.left.remove(name);
+        }
+    }
+
     /// Takes at most `count` names, those first that were passed on least.
     pub(crate) fn take(&mut self, count: usize) -> Vec<Arc<str>> {
         let mut names: Vec<(u32, Arc<str>)> =
--- a/components/control/src/roster.rs
+++ b/components/control/src/roster.rs
@@ -79,20 +79,35 @@
         self.fresh_records.push(self.name(), self.records.len());
     }
 
-    /// Takes in a record; returns whether it changed anything.
+    /// Takes in a record that a peer passes on; returns whether it changed anything.
+    ///
+    /// A record that is news is passed on; one that is known already is passed on less.
     pub fn merge(&mut self, record: Record) -> bool {
+        let name = Arc::clone(&record.vm.name);
+        let known = self.records.get(&name).is_some_and(|known| rank(known) == rank(&record));
+        if known {
+            self.fresh_records.heard(&name);
+            return false;
+        }
+        let changed = self.adopt(record);
+        if changed {
+            self.fresh_records.push(name, self.records.len());
+        }
+        changed
+    }
+
+    /// Takes in a record that the others get from the same source.
+    pub fn adopt(&mut self, record: Record) -> bool {
         if record.vm.name == self.own.vm.name {
             return self.refute(&record);
         }
         if self.gone.contains(&record.vm.name) {
             return false;
         }
-        let rank = |record: &Record| (record.beat, record.vm.state);
         match self.records.get(&record.vm.name) {
             Some(known) if rank(known) >= rank(&record) => return false,
             _ => {}
         }
-        self.fresh_records.push(Arc::clone(&record.vm.name), self.records.len());
         self.records.insert(Arc::clone(&record.vm.name), record);
         true
     }
@@ -169,7 +184,7 @@
                 }
             });
         }
-        self.merge(record)
+        self.adopt(record)
     }
 
     fn replace_upstreams(&mut self, upstreams: BTreeMap<Arc<str>, Upstream>, now: Millis) -> bool {
@@ -318,6 +333,11 @@
     }
 }
 
+/// The order of the records of one VM.
+fn rank(record: &Record) -> (u64, State) {
+    (record.beat, record.vm.state)
+}
+
 fn answers(vm: &Vm) -> bool {
     vm.state != State::Suspect
 }
