Sample rosters in heartbeats, and prove membership in sessions

Two faults that the first runs of the sessions showed: one VM of nine never learned of a suspicion, since a change that was lost on all its ways was not passed on again; and a VM that woke from a freeze suspected a live peer by its own timeouts.

--- a/components/control/src/fake.rs
+++ b/components/control/src/fake.rs
@@ -176,6 +176,23 @@
         }
     }
 
+    /// Lists an upstream at the platform.
+    pub fn enlist_upstream(&self, name: &str) {
+        self.platform.enlist(Machine {
+            name: name.into(),
+            domain: Arc::clone(&sample::vm(0).domain),
+            role: Role::Upstream { service: service().name, address: address(0) },
+            leaving: false,
+        });
+    }
+
+    /// Lets the VM's `entryd` report `upstreams` as leaving, and no others.
+    pub fn hear_leaving(&self, number: usize, upstreams: &[&str]) {
+        if let Some(vm) = self.vms.get(&number) {
+            vm.entry.hear_leaving(upstreams);
+        }
+    }
+
     /// The agent of the VM of this number, while it runs.
     pub fn agent(&self, number: usize) -> Option<Arc<Agent>> {
         self.vms.get(&number).map(|vm| vm.control.agent())
--- a/components/control/src/fake/entry.rs
+++ b/components/control/src/fake/entry.rs
@@ -88,6 +88,7 @@
     agent: Arc<Agent>,
     held: Option<Issue>,
     leaving: bool,
+    leaving_upstreams: Vec<Arc<str>>,
 }
 
 impl Entry {
@@ -104,7 +105,12 @@
             number,
             address: address(number),
             incarnation,
-            state: Mutex::new(State { agent, held: None, leaving: false }),
+            state: Mutex::new(State {
+                agent,
+                held: None,
+                leaving: false,
+                leaving_upstreams: Vec::new(),
+            }),
         });
         let task = tokio::spawn(Arc::clone(&runner).run());
         Entry { runner, task }
@@ -125,6 +131,12 @@
         self.runner.state().leaving = true;
     }
 
+    /// Reports `upstreams` as leaving from here on.
+    pub(super) fn hear_leaving(&self, upstreams: &[&str]) {
+        let upstreams = upstreams.iter().map(|name| Arc::from(*name)).collect();
+        self.runner.state().leaving_upstreams = upstreams;
+    }
+
     pub(super) fn kill(self) {
         self.task.abort();
     }
@@ -160,7 +172,7 @@
             leaving: state.leaving,
             in_flight: 0,
             demand: vec![Demand { region: region.into(), rate: f64::from(DEMAND) }],
-            leaving_upstreams: Vec::new(),
+            leaving_upstreams: state.leaving_upstreams.clone(),
         }
     }
 
--- a/components/control/src/gossip.rs
+++ b/components/control/src/gossip.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 /// Transmissions that are saved when a peer turns out to have a change already.
-const KNOWN_COST: u32 = 2;
+const KNOWN_COST: u32 = 1;
 
 /// Names of changes that still have to be passed on, with the times left for each.
 #[derive(Debug, Default)]
--- a/components/control/src/handler.rs
+++ b/components/control/src/handler.rs
@@ -16,9 +16,12 @@
             Ask::Push { origin } => Some(Arc::clone(origin)),
             _ => None,
         };
+        let sample = message.header.sample;
         self.absorb(message.header, origin.as_ref());
         let body = self.answer(&from, message.ask).await;
-        Reply { header: self.header(Some(&from)), body }
+        let mut header = self.header(Some(&from));
+        header.records.extend(self.state().roster.differing(sample));
+        Reply { header, body }
     }
 }
 
--- a/components/control/src/heartbeat.rs
+++ b/components/control/src/heartbeat.rs
@@ -11,6 +11,9 @@
 use std::sync::Arc;
 use tokio::task::JoinSet;
 
+/// A probe that took longer says that this VM was paused, and nothing of the peer.
+const PROBE_LIMIT: Millis = Millis(5000);
+
 /// A peer to talk to.
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
@@ -46,7 +49,9 @@
     pub(crate) fn header(&self, peer: Option<&str>) -> Header {
         let now = self.config.clock.now();
         let mut state = self.state();
+        let draw: u16 = state.random.random();
         Header {
+            sample: state.roster.sample(draw),
             own: state.roster.own().clone(),
             stamp: state.stamp(),
             records: state.roster.take_records(peer),
@@ -104,12 +109,18 @@
     }
 
     async fn probe(&self, peer: &Peer) {
+        let started = self.config.clock.now();
         for _ in 0..2 {
             if self.ask(peer, Ask::Heartbeat, HEARTBEAT_TIMEOUT).await.is_ok() {
                 return;
             }
         }
-        if !self.probe_through_others(peer).await && self.state().roster.suspect(&peer.name) {
+        let answers = self.probe_through_others(peer).await;
+        let was_paused = self.config.clock.now() - started > PROBE_LIMIT;
+        if answers || was_paused {
+            return;
+        }
+        if self.state().roster.suspect(&peer.name) {
             log::warn!("{} doesn't answer", peer.name);
             self.changed.notify_one();
         }
--- a/components/control/tests/fleet/mod.rs
+++ b/components/control/tests/fleet/mod.rs
@@ -25,6 +25,8 @@
     clock: Clock,
     start: Millis,
     lines: Arc<Mutex<Vec<String>>>,
+    /// What the operators were told, in the order of their acts.
+    answers: Arc<Mutex<Vec<String>>>,
 }
 
 impl Log {
@@ -34,6 +36,18 @@
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         lines.push(format!("{at:>4} s {text}"));
     }
+
+    /// Keeps a place for an answer, so that their order doesn't depend on their times.
+    fn expect_answer(&self, operation: &str) -> usize {
+        let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        answers.push(format!("  {operation}: no answer"));
+        answers.len() - 1
+    }
+
+    fn answer(&self, place: usize, text: String) {
+        let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        answers[place] = format!("  {text}");
+    }
 }
 
 struct Player {
@@ -50,7 +64,7 @@
     };
     let cluster = Cluster::new(vms, SEED);
     let clock = cluster.clock;
-    let log = Log { clock, start: clock.now(), lines: Arc::default() };
+    let log = Log { clock, start: clock.now(), lines: Arc::default(), answers: Arc::default() };
     let commits = Commits::watch(Arc::clone(&cluster.platform), clock);
     let mut player = Player { cluster, log, commits, operators: Vec::new() };
     for step in &script.steps {
@@ -58,6 +72,8 @@
         player.step(step).await?;
     }
     let mut lines = player.log.lines.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    lines.push("answers".into());
+    lines.extend(player.log.answers.lock().unwrap_or_else(PoisonError::into_inner).clone());
     lines.extend(verdict::judge(&player.cluster, &player.commits));
     Ok(lines)
 }
@@ -83,9 +99,17 @@
             "heal" => self.cluster.network.heal(),
             "loss" => self.cluster.network.set_loss(word(step)?.parse()?),
             "look" => self.look(),
+            "vms" => self.write(verdict::states(&self.cluster)),
+            "upstream" => self.cluster.enlist_upstream(word(step)?),
+            "upstreams" => self.write(verdict::upstreams(&self.cluster)),
+            "hears-leaving" => {
+                let upstream = step.words.get(1).ok_or("an upstream is missing")?.as_str();
+                self.cluster.hear_leaving(vm(step)?, &[upstream]);
+            }
+            "stops-hearing" => self.cluster.hear_leaving(vm(step)?, &[]),
             other => return Err(format!("unknown verb `{other}`").into()),
         }
-        if !matches!(step.verb.as_str(), "look" | "fleet") {
+        if !matches!(step.verb.as_str(), "look" | "fleet" | "vms" | "upstreams") {
             let options = step.options.iter().map(|(key, value)| format!(" {key}={value}"));
             let words: String = step.words.iter().map(|word| format!(" {word}")).collect();
             let options: String = options.collect();
@@ -137,6 +161,7 @@
         let expected = step.option("expected").unwrap_or("0").parse()?;
         let name: Arc<str> = step.words.first().map_or("", String::as_str).into();
         let log = self.log.clone();
+        let place = log.expect_answer(&operation);
         let verb = step.verb.clone();
         let source = settings::write(&self.cluster.declaration());
         let start = self.log.clock.now();
@@ -155,10 +180,11 @@
                     agent.plan_drain(PlanDrain { expected, operation, drain }).await
                 }
                 _ => {
-                    return log.line(&format!("{op}: {}", outcome(agent.outcome(operation).await)));
+                    let outcome = outcome(agent.outcome(operation).await);
+                    return log.answer(place, format!("{op}: {outcome}"));
                 }
             };
-            log.line(&format!("{op}: {}", describe(answer)));
+            log.answer(place, format!("{op}: {}", describe(answer)));
         });
         self.operators.push((at, act));
         Ok(())
@@ -166,9 +192,11 @@
 
     /// Writes down what each `entryd` holds, grouped.
     fn look(&self) {
-        for line in verdict::holdings(&self.cluster) {
-            self.log.line(&line);
-        }
+        self.write(verdict::holdings(&self.cluster));
+    }
+
+    fn write(&self, lines: Vec<String>) {
+        lines.iter().for_each(|line| self.log.line(line));
     }
 }
 
--- a/components/control/tests/fleet/verdict.rs
+++ b/components/control/tests/fleet/verdict.rs
@@ -6,7 +6,7 @@
 use platform::fake::Platform;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, PoisonError};
-use steering::{Plan, Stamp};
+use steering::{Plan, Snapshot, Stamp, State};
 
 const WATCH: Millis = Millis(5);
 
@@ -59,20 +59,46 @@
 
 /// What the `entryd` processes that run hold, grouped.
 pub fn holdings(cluster: &Cluster) -> Vec<String> {
+    group(cluster, |held| {
+        let epoch = held.plan.epoch;
+        format!("version {} {} and a plan of epoch {epoch}", held.version, held.preset.name)
+    })
+}
+
+/// What the `entryd` processes that run hold of the VMs that aren't live, grouped.
+pub fn states(cluster: &Cluster) -> Vec<String> {
+    group(cluster, |snapshot| {
+        let others = snapshot.vms.iter().filter(|vm| vm.state != State::Live);
+        let others: Vec<String> = others.map(|vm| format!("{} {:?}", vm.name, vm.state)).collect();
+        format!("{} VMs, not live: {}", snapshot.vms.len(), list(&others))
+    })
+}
+
+/// What the `entryd` processes that run hold of the upstreams, grouped.
+pub fn upstreams(cluster: &Cluster) -> Vec<String> {
+    group(cluster, |snapshot| {
+        let all = snapshot.upstreams.iter();
+        let all: Vec<String> = all.map(|one| format!("{} {:?}", one.name, one.state)).collect();
+        list(&all)
+    })
+}
+
+fn group<F>(cluster: &Cluster, describe: F) -> Vec<String>
+where
+    F: Fn(&Snapshot) -> String,
+{
     let mut groups: BTreeMap<String, usize> = BTreeMap::new();
     for vm in cluster.running() {
-        let held = match cluster.held(vm) {
-            Some(snapshot) => format!(
-                "version {} {} and a plan of epoch {}",
-                snapshot.version, snapshot.preset.name, snapshot.plan.epoch
-            ),
-            None => "nothing".into(),
-        };
+        let held = cluster.held(vm).map_or_else(|| "nothing".into(), |held| describe(&held));
         *groups.entry(held).or_default() += 1;
     }
     groups.into_iter().map(|(held, count)| format!("{count} VMs hold {held}")).collect()
 }
 
+fn list(words: &[String]) -> String {
+    if words.is_empty() { "none".into() } else { words.join(", ") }
+}
+
 /// The promises, judged over everything that was seen.
 pub fn judge(cluster: &Cluster, commits: &Commits) -> Vec<String> {
     let sights = cluster.seen().all();
--- a/components/control/tests/sessions.rs
+++ b/components/control/tests/sessions.rs
@@ -15,5 +15,6 @@
 
 datatest_stable::harness! {
     { test = run, root = "../../tests/sessions/configuration", pattern = r".*\.session$" },
+    { test = run, root = "../../tests/sessions/membership", pattern = r".*\.session$" },
     { test = run, root = "../../tests/sessions/shift-cap", pattern = r"control-.*\.session$" },
 }
--- a/components/peer/src/local.rs
+++ b/components/peer/src/local.rs
@@ -1,7 +1,8 @@
 //! The hand-over of snapshots from `controld` to its `entryd`, over loopback.
 //!
 //! `entryd` asks again as soon as it has an answer, and `controld` keeps the question open until
-//! it has something new, so a change arrives at once and an idle pair costs one exchange a second.
+//! it has something new, so a change arrives at once; it answers without one after a while, since
+//! `entryd` tells of leaving upstreams only when it asks again.
 
 mod client;
 mod server;
@@ -16,7 +17,7 @@
 use steering::Snapshot;
 
 /// How long `controld` keeps a question open when it has nothing new.
-pub const HOLD: Millis = Millis(1000);
+pub const HOLD: Millis = Millis(300);
 
 /// The longest report, encoded, in bytes.
 pub const MAX_REPORT: usize = 256 << 10;
--- a/components/peer/src/local/client.rs
+++ b/components/peer/src/local/client.rs
@@ -28,7 +28,7 @@
         Client { http, key, own, neighbours, held: None, stamp: None }
     }
 
-    /// Hands in `report` and waits about a second for a snapshot that is new.
+    /// Hands in `report` and waits at most [`HOLD`] for a snapshot that is new.
     ///
     /// # Errors
     ///
--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -52,6 +52,19 @@
     pub records: Vec<Record>,
     /// Upstreams that are leaving.
     pub notices: Vec<Notice>,
+    /// A sample of the sender's roster, so that records which got lost are noticed.
+    pub sample: Sample,
+}
+
+/// The digest of a part of a roster; a receiver whose part differs replies with its records.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sample {
+    /// The part's number.
+    pub part: u16,
+    /// How many parts the roster is divided into; zero for no sample.
+    pub parts: u16,
+    /// The digest of the names, beats and states in the part.
+    pub digest: u64,
 }
 
 /// The versions of what a node has installed.
--- a/components/peer/tests/http.rs
+++ b/components/peer/tests/http.rs
@@ -72,8 +72,13 @@
 
 fn message(ask: Ask) -> Message {
     let own = Record { vm: sample::vm(3), beat: 7 };
-    let header =
-        Header { own, stamp: Default::default(), records: Vec::new(), notices: Vec::new() };
+    let header = Header {
+        own,
+        stamp: Default::default(),
+        records: Vec::new(),
+        notices: Vec::new(),
+        sample: Default::default(),
+    };
     Message { header, ask }
 }
 
