--- a/components/steering/src/choice/aside.rs
+++ b/components/steering/src/choice/aside.rs
@@ -74,6 +74,12 @@
     member.state == State::Live && member.aside.is_none() && member.samples() >= SAMPLES_MIN
 }
 
+/// Whether an upstream is much slower than is usual.
+pub(super) fn is_slow(member: &Member, usual: f64, now: Millis) -> bool {
+    let time = member.service_time(now).unwrap_or_default();
+    time > usual * SLOW_FACTOR && time - usual > SLOW_MARGIN_MS
+}
+
 /// Returns upstreams that were due for a probe but got none.
 pub(super) fn return_unprobed(members: &mut [Member], now: Millis) {
     for member in members {
@@ -89,8 +95,7 @@
     let mut room = (live / BOUND).saturating_sub(count(members));
     while room > 0 {
         let Some(slowest) = slowest(members, now) else { return };
-        let time = members[slowest].service_time(now).unwrap_or_default();
-        if time <= usual * SLOW_FACTOR || time - usual <= SLOW_MARGIN_MS {
+        if !is_slow(&members[slowest], usual, now) {
             return;
         }
         members[slowest].aside = Some(Aside::new(now));
--- a/components/steering/src/choice/pool.rs
+++ b/components/steering/src/choice/pool.rs
@@ -1,6 +1,6 @@
-use super::aside;
 use super::member::{Member, Outcome, Report, Ticket};
 use super::{Roster, Task, Unavailable};
+use super::{aside, ranked};
 use crate::State;
 use clock::Millis;
 use settings::Class;
@@ -119,6 +119,18 @@
         self.usual.unwrap_or_default()
     }
 
+    /// How long an answer to `task` should take, round trip and queue included; `None` if it can't
+    /// be served by an upstream in good standing.
+    ///
+    /// A request that several pools may serve, one for each region, goes to the one that is
+    /// expected to answer first among those whose limits admit it.
+    pub fn expected(&mut self, task: &Task, now: Millis) -> Option<Millis> {
+        self.compare(now);
+        let eligible = self.eligible(task).ok()?;
+        let least = ranked::least_cost(&self.members, &eligible, self.usual(), now);
+        least.is_finite().then_some(Millis(least as u64))
+    }
+
     /// Brings the comparison with peers up to date and sets stragglers aside.
     pub(super) fn compare(&mut self, now: Millis) {
         if self.usual_at.is_some_and(|at| now - at < USUAL_PERIOD && at <= now) {
--- a/components/steering/src/choice/ranked.rs
+++ b/components/steering/src/choice/ranked.rs
@@ -1,3 +1,4 @@
+use super::aside;
 use super::{Choice, Member, Pick, Pool, Reason, Task, Unavailable};
 use clock::Millis;
 use rand::{Rng, RngExt};
@@ -78,8 +79,12 @@
 }
 
 /// Whether an own slot is so slow that borrowing is better, though others may use that one too.
+///
+/// A queue of this entry VM's own requests isn't enough; the upstream must be slow by the measure
+/// that sets stragglers aside, as when no more of them may be.
 fn is_worse(own: &Member, best: &Member, usual: f64, now: Millis) -> bool {
-    cost(own, usual, now) > BORROW_FACTOR * cost(best, usual, now)
+    aside::is_slow(own, usual, now)
+        && cost(own, usual, now) > BORROW_FACTOR * cost(best, usual, now)
 }
 
 /// The upstream that should answer first; ties are broken at random.
@@ -109,6 +114,12 @@
     best
 }
 
+/// The expected time to an answer from the best of `eligible`, in milliseconds.
+pub(super) fn least_cost(members: &[Member], eligible: &[usize], usual: f64, now: Millis) -> f64 {
+    let usable = eligible.iter().map(|&index| &members[index]).filter(|m| !m.is_aside());
+    usable.map(|member| cost(member, usual, now)).fold(f64::INFINITY, f64::min)
+}
+
 /// The expected time to an answer in milliseconds, from this entry VM's own observations.
 ///
 /// Own slots are free of others' requests; what this entry VM sends beyond them stands for what
--- a/components/steering/tests/choice.rs
+++ b/components/steering/tests/choice.rs
@@ -223,6 +223,19 @@
     assert!(pool.members()[slow].ramp(later) < 1.0);
 }
 
+#[test]
+fn a_pool_without_sound_upstreams_expects_more_than_another() {
+    let mut pool = pool(&snapshot(3, 4, 3));
+    let mut now = START;
+    serve(&mut pool, 50, &[], &mut now);
+    let calm = pool.expected(&task(Class::Short), now).expect("all are live");
+    serve(&mut pool, 400, &[0, 1, 2, 3], &mut now);
+    let slow = pool.expected(&task(Class::Short), now).expect("all are live");
+    assert!(slow > calm + Millis(50), "{calm} {slow}");
+    let all_tried = Task { tried: vec![0, 1, 2, 3], ..task(Class::Short) };
+    assert_eq!(pool.expected(&all_tried, now), None);
+}
+
 #[test]
 fn long_requests_hold_only_their_part_and_short_ones_go_on() {
     let snapshot = snapshot(3, 6, 4);
