--- a/components/daemon/src/entryd.rs
+++ b/components/daemon/src/entryd.rs
@@ -12,6 +12,7 @@
 use settings::Node;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use telemetry::names;
 use tokio::task::JoinHandle;
 use upstream::Transport;
 
@@ -66,7 +67,7 @@
         let key = Key::new(Arc::clone(&node.peer_key));
         let operator_key = operator::Key::new(Arc::clone(&node.operator_key));
         let entry = new_entry(&node, &key, table, clock)?;
-        let client = Client::new(key.clone(), local, node.peers.clone());
+        let client = Client::new(key.clone(), local, node.peers);
         let follower = tokio::spawn(follow(entry.clone(), client, clock));
         let listeners = [
             caller.serve(caller::router(Arc::new(entry.clone()))),
@@ -130,14 +131,21 @@
 
 /// Installs snapshots as they come; while none come, the entry goes on with the one it has.
 async fn follow(entry: Entry, mut client: Client, clock: Clock) {
+    let mut heard = clock.now();
     loop {
         match client.next(entry.report()).await {
-            Ok(Some(snapshot)) => entry.install(snapshot),
-            Ok(None) => {}
+            Ok(snapshot) => {
+                heard = clock.now();
+                if let Some(snapshot) = snapshot {
+                    entry.install(snapshot);
+                }
+            }
             Err(failure) => {
                 log::warn!("no snapshot from controld: {failure}");
                 clock.sleep(RETRY).await;
             }
         }
+        let lag = (clock.now() - heard).as_secs_f64();
+        metrics::gauge!(names::LAG, names::SOURCE => "controld").set(lag);
     }
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod job;
 mod limits;
 mod look_up;
+mod measure;
 mod order;
 mod poll;
 mod reply;
--- a/components/entry/src/limits.rs
+++ b/components/entry/src/limits.rs
@@ -1,3 +1,4 @@
+use crate::measure;
 use crate::view::View;
 use clock::Millis;
 use errors::{Error, Kind};
@@ -63,7 +64,9 @@
         now: Millis,
     ) -> Result<Admitted, Error> {
         self.advance(view, now);
-        self.admission()?.admit(home, block, draw, now)
+        let admitted = self.admission()?.admit(home, block, draw, now)?;
+        measure::admitted(view, admitted.region);
+        Ok(admitted)
     }
 
     /// Admits a further attempt into `region`.
--- /dev/null
+++ b/components/entry/src/measure.rs
@@ -0,0 +1,60 @@
+//! What is measured of this VM's limits and of what it has installed.
+
+use crate::core::Core;
+use crate::view::View;
+use std::sync::Arc;
+use steering::share::{self, Caps};
+use telemetry::names;
+
+const REQUESTS: &str = "requests";
+const MOVED_REQUESTS: &str = "moved_requests";
+const SENT_KBIT: &str = "sent_kbit";
+const RECEIVED_KBIT: &str = "received_kbit";
+
+/// Measures what is in force at this VM.
+pub(crate) fn in_force(core: &Core, view: &View) {
+    let snapshot = view.snapshot();
+    metrics::gauge!(names::VERSION).set(snapshot.version as f64);
+    metrics::gauge!(names::PLAN_EPOCH).set(snapshot.plan.epoch as f64);
+    metrics::gauge!(names::PLAN_SEQUENCE).set(snapshot.plan.sequence as f64);
+    metrics::gauge!(names::IN_FLIGHT).set(core.gate.in_flight() as f64);
+    limits(core, view);
+}
+
+/// Counts a request that was let through into a region.
+pub(crate) fn admitted(view: &View, region: u16) {
+    let region = name(view, region);
+    metrics::counter!(names::LIMIT_USED, names::LIMIT_KIND => REQUESTS, names::DESTINATION => region)
+        .increment(1);
+}
+
+fn limits(core: &Core, view: &View) {
+    let snapshot = view.snapshot();
+    let caps = Caps {
+        deployment: &snapshot.deployment,
+        preset: &snapshot.preset,
+        drains: &snapshot.drains,
+    };
+    let limits = share::limits(&snapshot.plan, caps, &core.config.vm, core.clock.now());
+    let names = view.index.regions();
+    for (region, limit) in names.iter().zip(&limits.regions) {
+        limit_to(region, REQUESTS, limit.requests);
+        limit_to(region, MOVED_REQUESTS, limit.shift);
+    }
+    for (region, limit) in names.iter().zip(&limits.links) {
+        limit_to(region, SENT_KBIT, limit.send_kbit);
+        limit_to(region, RECEIVED_KBIT, limit.receive_kbit);
+    }
+}
+
+/// Traffic that stays within the region has the limit `+Inf`.
+fn limit_to(region: &Arc<str>, kind: &'static str, limit: u32) {
+    let region = region.to_string();
+    let limit = if limit == u32::MAX { f64::INFINITY } else { f64::from(limit) };
+    metrics::gauge!(names::LIMIT, names::LIMIT_KIND => kind, names::DESTINATION => region)
+        .set(limit);
+}
+
+fn name(view: &View, region: u16) -> String {
+    view.index.regions().get(usize::from(region)).map(|name| name.to_string()).unwrap_or_default()
+}
--- a/components/entry/src/report.rs
+++ b/components/entry/src/report.rs
@@ -1,6 +1,6 @@
-use crate::Entry;
 use crate::core::Core;
 use crate::view::View;
+use crate::{Entry, measure};
 use peer::local::{Demand, Report};
 use std::sync::Arc;
 use steering::Snapshot;
@@ -19,7 +19,10 @@
             ..Report::default()
         };
         match core.view.load_full() {
-            Some(view) => with_plan(core, &view, report),
+            Some(view) => {
+                measure::in_force(core, &view);
+                with_plan(core, &view, report)
+            }
             None => report,
         }
     }
--- a/components/telemetry/src/names.rs
+++ b/components/telemetry/src/names.rs
@@ -8,7 +8,7 @@
 pub const REQUESTS: &str = "heatherbend_requests_total";
 /// Time from a request's arrival to the end of its answer, by service.
 pub const LATENCY: &str = "heatherbend_request_seconds";
-/// Requests in flight, by service.
+/// Requests in flight.
 pub const IN_FLIGHT: &str = "heatherbend_requests_in_flight";
 /// Refusals, by kind of error.
 pub const REFUSALS: &str = "heatherbend_refusals_total";
@@ -80,7 +80,7 @@
 pub fn describe() {
     describe_counter!(REQUESTS, "Requests answered, by service and outcome");
     describe_histogram!(LATENCY, Unit::Seconds, "Time from arrival to the answer's end");
-    describe_gauge!(IN_FLIGHT, "Requests in flight, by service");
+    describe_gauge!(IN_FLIGHT, "Requests in flight");
     describe_counter!(REFUSALS, "Refusals, by kind of error");
     describe_counter!(LOOKUPS, "Look-ups answered, by reason");
     describe_counter!(DECISIONS, "Decisions, by action");
