--- a/components/entry/tests/drive/mod.rs
+++ b/components/entry/tests/drive/mod.rs
@@ -1,18 +1,28 @@
 //! Reads the steps of a session and takes them in a world.
 
-use crate::world::{Ask, START, World};
+use crate::world::{Ask, START, Setup, World};
 use clock::Millis;
 use entry::fake::Mode;
 use session::{Script, Step};
+use settings::Class;
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::sync::Arc;
 use steering::State;
 use upstream::fake::Fault;
+use upstream::load::Load;
 
-const POLL: Millis = Millis::from_secs(1);
+const SETUP: Setup = Setup {
+    poll: Millis::from_secs(1),
+    services: &[("manuals", Class::Long), ("orders", Class::Short), ("status", Class::Short)],
+    upstreams: 12,
+};
 const SETTLE: Millis = Millis::from_secs(60);
 const PATH: &str = "/place";
 
+/// Order prefixes by the name that a session gives them.
+type Prefixes = BTreeMap<String, Arc<str>>;
+
 pub fn run(script: &Script) -> Result<Vec<String>, Box<dyn Error>> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build()?;
@@ -20,10 +30,11 @@
 }
 
 async fn play(script: &Script) -> Result<Vec<String>, Box<dyn Error>> {
-    let mut world = World::new(POLL).await;
+    let mut world = World::new(&SETUP).await;
+    let mut prefixes = Prefixes::new();
     for step in &script.steps {
         world.clock.sleep_until(START + step.at).await;
-        take(&mut world, step)?;
+        take(&mut world, &mut prefixes, step)?;
     }
     world.clock.sleep(SETTLE).await;
     world.check()?;
@@ -45,14 +56,14 @@
     runs.iter().map(line).collect()
 }
 
-fn take(world: &mut World, step: &Step) -> Result<(), Box<dyn Error>> {
+fn take(world: &mut World, prefixes: &mut Prefixes, step: &Step) -> Result<(), Box<dyn Error>> {
     match step.verb.as_str() {
         "order" | "get" => {
-            let ask = ask(world, step)?;
+            let ask = ask(prefixes, step)?;
             world.ask(ask);
         }
         "gone" => world.callers[word(step)?].abort(),
-        "prefix" => prefix(world, step)?,
+        "prefix" => prefix(world, prefixes, step)?,
         "start" => world.start(word(step)?, number(step, "incarnation")?),
         "stop" => world.stop(word(step)?),
         "kill" => world.set(word(step)?, Mode::Killed),
@@ -67,31 +78,31 @@
     Ok(())
 }
 
-fn ask(world: &World, step: &Step) -> Result<Ask, Box<dyn Error>> {
+fn ask(prefixes: &Prefixes, step: &Step) -> Result<Ask, Box<dyn Error>> {
     let service = step.option("service").unwrap_or("orders");
     Ok(Ask {
         name: word(step)?.into(),
         via: step.option("via").ok_or("via is missing")?.into(),
         service: service.into(),
         path: step.option("path").unwrap_or(PATH).into(),
-        block: 0,
-        order: step.option("id").map(|id| order_id(world, id)),
+        block: block(step)?,
+        order: step.option("id").map(|id| order_id(prefixes, id)),
         budget: step.option("budget").map(str::parse).transpose()?.map(Millis),
     })
 }
 
 // `name/rest` stands for the prefix that was kept as `name`, followed by `rest`.
-fn order_id(world: &World, id: &str) -> Arc<str> {
+fn order_id(prefixes: &Prefixes, id: &str) -> Arc<str> {
     match id.split_once('/') {
-        Some((name, rest)) => format!("{}~{rest}", world.prefixes[name]).into(),
+        Some((name, rest)) => format!("{}~{rest}", prefixes[name]).into(),
         None => id.into(),
     }
 }
 
-fn prefix(world: &mut World, step: &Step) -> Result<(), Box<dyn Error>> {
+fn prefix(world: &World, prefixes: &mut Prefixes, step: &Step) -> Result<(), Box<dyn Error>> {
     let via = step.option("via").ok_or("via is missing")?;
-    let prefix = world.prefix(via)?;
-    world.prefixes.insert(word(step)?.into(), prefix);
+    let prefix = world.prefix(via, block(step)?)?;
+    prefixes.insert(word(step)?.into(), prefix);
     Ok(())
 }
 
@@ -141,6 +152,10 @@
         "up" => servers(world, name).iter().for_each(|server| server.set_down(false)),
         "leaving" => servers(world, name).iter().for_each(|server| server.set_leaving(true)),
         "staying" => servers(world, name).iter().for_each(|server| server.set_leaving(false)),
+        "lying" => {
+            let idle = Some(Load::default());
+            servers(world, name).iter().for_each(|server| server.set_reported(idle));
+        }
         "listed-leaving" => world.set_upstream(name, State::Leaving),
         "listed-live" => world.set_upstream(name, State::Live),
         "service" => {
@@ -160,6 +175,11 @@
     }
 }
 
+// Sites have four blocks each, so 0, 8 and 16 come from three regions.
+fn block(step: &Step) -> Result<u32, Box<dyn Error>> {
+    Ok(step.option("block").map(str::parse).transpose()?.unwrap_or_default())
+}
+
 fn word(step: &Step) -> Result<&str, Box<dyn Error>> {
     let missing = || format!("{} needs a word", step.verb);
     Ok(step.words.first().ok_or_else(missing)?)
