--- a/components/entry/src/poll.rs
+++ b/components/entry/src/poll.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Weak};
 use tokio::task::JoinHandle;
 
-/// Asks upstreams for their load, again and again.
+/// Asks upstreams for their load and follows planned drains, again and again.
 pub(crate) struct Poller {
     task: JoinHandle<()>,
 }
@@ -27,6 +27,10 @@
 
 async fn poll(core: Weak<Core>) {
     while let Some(core) = core.upgrade() {
+        if let Ok(view) = core.view() {
+            let now = core.clock.now();
+            core.services().follow_drains(&view, now);
+        }
         let addresses = core.services().addresses();
         let asking = addresses.into_iter().map(|(name, address)| ask(&core, name, address));
         join_all(asking).await;
--- a/components/entry/src/service/services.rs
+++ b/components/entry/src/service/services.rs
@@ -14,13 +14,20 @@
     vm: Arc<str>,
     by_name: BTreeMap<Arc<str>, Service>,
     pub(crate) leaving: Leaving,
+    drained: Vec<Arc<str>>,
     pub(crate) rng: StdRng,
 }
 
 impl Services {
     pub(crate) fn new(vm: Arc<str>, seed: u64) -> Services {
         let rng = StdRng::seed_from_u64(seed);
-        Services { vm, by_name: BTreeMap::new(), leaving: Leaving::default(), rng }
+        Services {
+            vm,
+            by_name: BTreeMap::new(),
+            leaving: Leaving::default(),
+            drained: Vec::new(),
+            rng,
+        }
     }
 
     /// Takes over a snapshot, keeping what was observed.
@@ -28,6 +35,7 @@
         let snapshot = view.snapshot();
         let listed = |name: &str| snapshot.upstreams.iter().any(|upstream| &*upstream.name == name);
         self.leaving.retain(listed);
+        self.drained = drained(view, now);
         for service in &snapshot.deployment.services {
             let fresh = || Service::new(service.class);
             let state = self.by_name.entry(Arc::clone(&service.name)).or_insert_with(fresh);
@@ -36,6 +44,14 @@
         }
     }
 
+    /// Stops new work to upstreams whose planned drain has started, and lets those whose drain has
+    /// ended back in.
+    pub(crate) fn follow_drains(&mut self, view: &View, now: Millis) {
+        if drained(view, now) != self.drained {
+            self.update(view, now);
+        }
+    }
+
     /// The service called `name`, with the source of random choices.
     pub(crate) fn get(&mut self, name: &str) -> Option<(&mut Service, &mut StdRng)> {
         let service = self.by_name.get_mut(name)?;
@@ -69,3 +85,13 @@
         all.map(|(name, address)| (Arc::clone(name), *address)).collect()
     }
 }
+
+fn drained(view: &View, now: Millis) -> Vec<Arc<str>> {
+    let snapshot = view.snapshot();
+    if snapshot.drains.is_empty() {
+        return Vec::new();
+    }
+    let upstreams = snapshot.upstreams.iter();
+    let held = upstreams.filter(|each| view.index.is_drained(&each.name, &each.domain, now));
+    held.map(|upstream| Arc::clone(&upstream.name)).collect()
+}
--- a/components/entry/src/service/state.rs
+++ b/components/entry/src/service/state.rs
@@ -54,7 +54,12 @@
     ) {
         self.classes.set_configured(service.class);
         self.budget.set_ratio(view.snapshot().preset.hedge_budget);
-        let roster = Roster::new(view.snapshot(), &service.name, vm);
+        let mut roster = Roster::new(view.snapshot(), &service.name, vm);
+        for candidate in &mut roster.candidates {
+            if view.index.is_drained(&candidate.upstream.name, &candidate.upstream.domain, now) {
+                candidate.upstream.state = steering::State::Leaving;
+            }
+        }
         let address =
             |c: &steering::choice::Candidate| (Arc::clone(&c.upstream.name), c.upstream.address);
         let used = roster.candidates.iter().filter(|c| c.connections > 0);
--- a/components/entry/tests/drive/mod.rs
+++ b/components/entry/tests/drive/mod.rs
@@ -4,7 +4,7 @@
 use clock::Millis;
 use entry::fake::Mode;
 use session::{Script, Step};
-use settings::Class;
+use settings::{Class, Drain, Target};
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::sync::Arc;
@@ -73,6 +73,7 @@
         "relays" => relays(world, step)?,
         "fault" => fault(world, step)?,
         "upstream" => upstream(world, step)?,
+        "drain" => drain(world, step)?,
         verb => return Err(format!("unknown step {verb}").into()),
     }
     Ok(())
@@ -167,6 +168,18 @@
     Ok(())
 }
 
+fn drain(world: &mut World, step: &Step) -> Result<(), Box<dyn Error>> {
+    let target = match (step.option("vm"), step.option("domain")) {
+        (Some(name), None) => Target::Vm(name.into()),
+        (None, Some(name)) => Target::Domain(name.into()),
+        _ => return Err("a drain has vm or domain".into()),
+    };
+    let (start, end) = (Millis(number(step, "start")?), Millis(number(step, "end")?));
+    let (start, end) = (START + start, START + end);
+    world.plan_drain(Drain { name: word(step)?.into(), target, start, end });
+    Ok(())
+}
+
 // `o*` stands for every upstream of the service.
 fn servers(world: &World, name: &str) -> Vec<Arc<upstream::fake::Server>> {
     match name.strip_suffix('*') {
--- a/components/entry/tests/world/mod.rs
+++ b/components/entry/tests/world/mod.rs
@@ -133,6 +133,12 @@
         self.install();
     }
 
+    /// Plans a drain.
+    pub fn plan_drain(&mut self, drain: settings::Drain) {
+        self.snapshot.drains.push(drain);
+        self.install();
+    }
+
     /// The address of an upstream.
     pub fn address(&self, name: &str) -> SocketAddr {
         let mut upstreams = self.snapshot.upstreams.iter();
--- a/components/steering/src/index.rs
+++ b/components/steering/src/index.rs
@@ -141,6 +141,11 @@
         drained
     }
 
+    /// Whether a planned drain empties the machine called `name` in failure domain `domain`.
+    pub fn is_drained(&self, name: &Arc<str>, domain: &Arc<str>, now: Millis) -> bool {
+        drains_of_vm(&self.snapshot, name, domain).iter().any(|drain| drain.holds(now))
+    }
+
     pub(crate) fn vm(&self, vm: u16) -> &Entry {
         &self.vms[usize::from(vm)]
     }
