Bound the time and the answer that a broken declaration can cost

The interface checks what it receives, so checking has to be bounded for any file within its size limit: finding duplicates compared each section and each name with all before it, and a list of half a million bad networks gave as many findings. Duplicates are found by hashing, a file has at most 10,000 lines, and a run reports at most 1,000 findings and counts the rest.

--- a/components/settings/src/check_deployment.rs
+++ b/components/settings/src/check_deployment.rs
@@ -1,9 +1,11 @@
 //! Checks a deployment as a whole.
 
 use crate::document::Document;
+use crate::findings::Findings;
 use crate::read_deployment::LINK;
 use crate::schema::{self, locate, sections};
 use crate::{Deployment, Finding, Range, block};
+use std::collections::HashSet;
 use std::sync::Arc;
 
 const MAX_REGIONS: usize = 64;
@@ -28,8 +30,11 @@
 }
 
 /// Reports what contradicts something else in the deployment.
-pub fn check(document: &Document, deployment: &Deployment, findings: &mut Vec<Finding>) {
+pub fn check(document: &Document, deployment: &Deployment, findings: &mut Findings) {
     check_counts(document, deployment, findings);
+    if deployment.regions.len() > MAX_REGIONS {
+        return;
+    }
     check_domains(document, deployment, findings);
     check_links(document, deployment, findings);
     check_sites(document, deployment, findings);
@@ -47,7 +52,7 @@
     }
 }
 
-fn check_counts(document: &Document, deployment: &Deployment, findings: &mut Vec<Finding>) {
+fn check_counts(document: &Document, deployment: &Deployment, findings: &mut Findings) {
     let groups = [
         (deployment.regions.is_empty(), "[region NAME]"),
         (deployment.sites.is_empty(), "[site NAME]"),
@@ -65,11 +70,11 @@
     }
 }
 
-fn check_domains(document: &Document, deployment: &Deployment, findings: &mut Vec<Finding>) {
-    let mut seen: Vec<&Arc<str>> = Vec::new();
+fn check_domains(document: &Document, deployment: &Deployment, findings: &mut Findings) {
+    let mut seen: HashSet<&Arc<str>> = HashSet::new();
     for region in &deployment.regions {
         for domain in &region.domains {
-            if seen.contains(&domain) && !region.domains.is_empty() {
+            if seen.contains(domain) {
                 let head = format!("region {}", region.name);
                 findings.push(Finding {
                     problem: format!("failure domain `{domain}` is in another region too"),
@@ -82,7 +87,7 @@
     }
 }
 
-fn check_links(document: &Document, deployment: &Deployment, findings: &mut Vec<Finding>) {
+fn check_links(document: &Document, deployment: &Deployment, findings: &mut Findings) {
     for section in sections(document, &LINK) {
         for name in section.names.iter().filter(|name| !has_region(deployment, name)) {
             let found = schema::at(document, section);
@@ -115,7 +120,7 @@
     ends.any(|ends| ends == (left, right) || ends == (right, left))
 }
 
-fn check_sites(document: &Document, deployment: &Deployment, findings: &mut Vec<Finding>) {
+fn check_sites(document: &Document, deployment: &Deployment, findings: &mut Findings) {
     let mut claims: Vec<Claim<'_>> = Vec::new();
     for site in &deployment.sites {
         let head = format!("site {}", site.name);
@@ -128,7 +133,7 @@
     check_overlaps(document, claims, findings);
 }
 
-fn check_overlaps(document: &Document, mut claims: Vec<Claim<'_>>, findings: &mut Vec<Finding>) {
+fn check_overlaps(document: &Document, mut claims: Vec<Claim<'_>>, findings: &mut Findings) {
     claims.sort();
     let mut furthest: Option<Claim<'_>> = None;
     for claim in claims {
--- a/components/settings/src/document.rs
+++ b/components/settings/src/document.rs
@@ -1,6 +1,7 @@
 //! One parsed file: sections and keys with their lines.
 
 use crate::Finding;
+use crate::findings::Findings;
 use crate::scan::{Scan, scan};
 use ini::{Ini, ParseOption, Properties};
 use std::collections::HashMap;
@@ -43,18 +44,16 @@
 /// Parses `text`; lines that can't be parsed become findings and the rest is still returned.
 ///
 /// A file that exceeds `limit` bytes or can't be parsed at all becomes a finding and `None`.
-pub fn parse(
-    file: &str,
-    text: &str,
-    limit: usize,
-    findings: &mut Vec<Finding>,
-) -> Option<Document> {
+pub fn parse(file: &str, text: &str, limit: usize, findings: &mut Findings) -> Option<Document> {
     if text.len() > limit {
         findings.push(too_large(file, limit));
         return None;
     }
     let mut scan = scan(file, text);
-    findings.append(&mut scan.findings);
+    findings.extend(scan.findings.drain(..));
+    if scan.is_cut {
+        return None;
+    }
     let option =
         ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
     match Ini::load_from_str_opt(&scan.clean, option) {
@@ -83,7 +82,7 @@
     }
 }
 
-fn number(ini: &Ini, scan: Scan, file: &str, findings: &mut Vec<Finding>) -> Vec<Section> {
+fn number(ini: &Ini, scan: Scan, file: &str, findings: &mut Findings) -> Vec<Section> {
     let mut sections: Vec<Section> = Vec::new();
     let mut seen: HashMap<String, usize> = HashMap::new();
     for lines in scan.sections {
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -9,6 +9,7 @@
 mod document;
 mod drain;
 mod finding;
+mod findings;
 pub mod instant;
 mod load;
 pub mod name;
--- a/components/settings/src/load.rs
+++ b/components/settings/src/load.rs
@@ -1,6 +1,7 @@
 //! Loads and checks whole declarations and nodes' files.
 
 use crate::document::{self, too_large};
+use crate::findings::Findings;
 use crate::{
     Declaration, Finding, Node, Source, read_deployment, read_drain, read_node, read_preset,
 };
@@ -16,6 +17,8 @@
 /// The name of the file with the drains.
 pub const DRAINS_FILE: &str = "drains.ini";
 
+const FILES: [&str; 3] = [DEPLOYMENT_FILE, PRESETS_FILE, DRAINS_FILE];
+
 /// The most bytes of `deployment.ini`.
 pub const DEPLOYMENT_LIMIT: usize = 4 * 1024 * 1024;
 /// The most bytes of `presets.ini` and of `drains.ini`.
@@ -29,28 +32,26 @@
 ///
 /// A finding for each file that is missing, too large or not UTF-8.
 pub fn read(dir: &Path) -> Result<Source, Vec<Finding>> {
-    let mut findings = Vec::new();
+    let mut findings = Findings::default();
     let source = read_files(dir, &mut findings);
-    if findings.is_empty() { Ok(source) } else { Err(findings) }
+    findings.close(&FILES, source)
 }
 
 /// Loads and checks the declaration in `dir`.
 ///
 /// # Errors
 ///
-/// Everything that is wrong, in the order of files and lines.
+/// Everything that is wrong: first files that can't be read, then by file and line.
 pub fn load(dir: &Path) -> Result<Declaration, Vec<Finding>> {
-    let mut findings = Vec::new();
+    let mut findings = Findings::default();
     let source = read_files(dir, &mut findings);
-    let unread: Vec<String> = findings.iter().map(|finding| finding.file.clone()).collect();
-    match parse(&source) {
-        Ok(declaration) if findings.is_empty() => Ok(declaration),
-        Ok(_) => Err(findings),
-        Err(found) => {
-            findings.extend(found.into_iter().filter(|each| !unread.contains(&each.file)));
-            Err(findings)
-        }
-    }
+    let Err(unread) = findings.close(&FILES, ()) else {
+        return parse(&source);
+    };
+    let is_unread = |finding: &Finding| unread.iter().any(|each| each.file == finding.file);
+    let found = parse(&source).err().unwrap_or_default();
+    let found = found.into_iter().filter(|finding| !is_unread(finding));
+    Err(unread.iter().cloned().chain(found).collect())
 }
 
 /// Checks the text of a declaration.
@@ -59,7 +60,7 @@
 ///
 /// Everything that is wrong, in the order of files and lines.
 pub fn parse(source: &Source) -> Result<Declaration, Vec<Finding>> {
-    let mut findings = Vec::new();
+    let mut findings = Findings::default();
     let document =
         document::parse(DEPLOYMENT_FILE, &source.deployment, DEPLOYMENT_LIMIT, &mut findings);
     let deployment = match &document {
@@ -74,11 +75,7 @@
     let drains = document
         .map(|document| read_drain::read(&document, &deployment, &mut findings))
         .unwrap_or_default();
-    sort(&mut findings);
-    if !findings.is_empty() {
-        return Err(findings);
-    }
-    Ok(Declaration { deployment, presets, drains })
+    findings.close(&FILES, Declaration { deployment, presets, drains })
 }
 
 /// Loads and checks a node's own file.
@@ -88,10 +85,10 @@
 /// Everything that is wrong, in the order of lines; a finding never holds a key.
 pub fn load_node(path: &Path) -> Result<Node, Vec<Finding>> {
     let file = path.file_name().map(|name| name.to_string_lossy()).unwrap_or_default();
-    let mut findings = Vec::new();
+    let mut findings = Findings::default();
     match read_file(path, &file, NODE_LIMIT, &mut findings) {
         Some(text) => parse_node(&file, &text),
-        None => Err(findings),
+        None => findings.close(&[], read_node::empty()),
     }
 }
 
@@ -101,23 +98,15 @@
 ///
 /// Everything that is wrong, in the order of lines; a finding never holds a key.
 pub fn parse_node(file: &str, text: &str) -> Result<Node, Vec<Finding>> {
-    let mut findings = Vec::new();
+    let mut findings = Findings::default();
     let Some(document) = document::parse(file, text, NODE_LIMIT, &mut findings) else {
-        return Err(findings);
+        return findings.close(&[], read_node::empty());
     };
     let node = read_node::read(&document, &mut findings);
-    sort(&mut findings);
-    if findings.is_empty() { Ok(node) } else { Err(findings) }
-}
-
-/// Sorts by line within each file; the files keep the order in which they were read.
-fn sort(findings: &mut [Finding]) {
-    let order = [DEPLOYMENT_FILE, PRESETS_FILE, DRAINS_FILE];
-    findings
-        .sort_by_key(|finding| (order.iter().position(|file| *file == finding.file), finding.line));
+    findings.close(&[], node)
 }
 
-fn read_files(dir: &Path, findings: &mut Vec<Finding>) -> Source {
+fn read_files(dir: &Path, findings: &mut Findings) -> Source {
     let mut read = |file: &str, limit: usize| {
         read_file(&dir.join(file), file, limit, findings).unwrap_or_default()
     };
@@ -128,7 +117,7 @@
     }
 }
 
-fn read_file(path: &Path, file: &str, limit: usize, findings: &mut Vec<Finding>) -> Option<String> {
+fn read_file(path: &Path, file: &str, limit: usize, findings: &mut Findings) -> Option<String> {
     let mut bytes = Vec::new();
     let read = File::open(path).and_then(|opened| {
         // One byte more than allowed tells a file that is too large from one that just fits.
--- a/components/settings/src/read_deployment.rs
+++ b/components/settings/src/read_deployment.rs
@@ -1,12 +1,11 @@
 //! Reads and checks `deployment.ini`.
 
 use crate::document::{Document, Section};
+use crate::findings::Findings;
 use crate::reader::{Bounds, Reader, items};
 use crate::schema::{self, Kind, sections};
 use crate::unit::Unit;
-use crate::{
-    Class, Deployment, Finding, Link, Range, Region, Service, Site, block, check_deployment,
-};
+use crate::{Class, Deployment, Link, Range, Region, Service, Site, block, check_deployment};
 use clock::Millis;
 
 /// `[deployment ...]`.
@@ -35,7 +34,7 @@
 const DEFAULT_LONG_DEADLINE: Millis = Millis::from_secs(300);
 
 /// Reads a deployment.
-pub fn read(document: &Document, findings: &mut Vec<Finding>) -> Deployment {
+pub fn read(document: &Document, findings: &mut Findings) -> Deployment {
     schema::check(document, &[DEPLOYMENT, REGION, LINK, SITE, SERVICE], findings);
     let regions: Vec<Region> = sections(document, &REGION)
         .map(|section| read_region(document, section, findings))
@@ -69,7 +68,7 @@
     }
 }
 
-fn read_head(document: &Document, findings: &mut Vec<Finding>) -> Deployment {
+fn read_head(document: &Document, findings: &mut Findings) -> Deployment {
     let mut deployment = empty();
     let Some(section) = sections(document, &DEPLOYMENT).next() else {
         findings.push(schema::missing(document, "[deployment]"));
@@ -84,7 +83,7 @@
     deployment
 }
 
-fn read_region(document: &Document, section: &Section, findings: &mut Vec<Finding>) -> Region {
+fn read_region(document: &Document, section: &Section, findings: &mut Findings) -> Region {
     let mut reader = Reader::new(&document.file, section, findings);
     let region = Region {
         name: reader.name(),
@@ -95,7 +94,7 @@
     region
 }
 
-fn read_link(document: &Document, section: &Section, findings: &mut Vec<Finding>) -> Link {
+fn read_link(document: &Document, section: &Section, findings: &mut Findings) -> Link {
     let mut reader = Reader::new(&document.file, section, findings);
     let link = Link {
         from: reader.name(),
@@ -107,7 +106,7 @@
     link
 }
 
-fn read_site(document: &Document, section: &Section, findings: &mut Vec<Finding>) -> Site {
+fn read_site(document: &Document, section: &Section, findings: &mut Findings) -> Site {
     let mut reader = Reader::new(&document.file, section, findings);
     let name = reader.name();
     let region = reader.word("region");
@@ -129,7 +128,7 @@
     Site { name, region, delay, blocks }
 }
 
-fn read_service(document: &Document, section: &Section, findings: &mut Vec<Finding>) -> Service {
+fn read_service(document: &Document, section: &Section, findings: &mut Findings) -> Service {
     let mut reader = Reader::new(&document.file, section, findings);
     let class = read_class(&mut reader);
     let default = match class {
--- a/components/settings/src/read_drain.rs
+++ b/components/settings/src/read_drain.rs
@@ -1,9 +1,10 @@
 //! Reads and checks `drains.ini`.
 
 use crate::document::{Document, Section};
+use crate::findings::Findings;
 use crate::reader::Reader;
 use crate::schema::{self, Kind, sections};
-use crate::{Deployment, Drain, Finding, Target, instant};
+use crate::{Deployment, Drain, Target, instant};
 use clock::Millis;
 use std::sync::Arc;
 
@@ -13,11 +14,7 @@
 const INSTANT: &str = "a point in time in UTC such as 2026-12-24T22:00:00Z";
 
 /// Reads the drains, whose targets are in `deployment`.
-pub fn read(
-    document: &Document,
-    deployment: &Deployment,
-    findings: &mut Vec<Finding>,
-) -> Vec<Drain> {
+pub fn read(document: &Document, deployment: &Deployment, findings: &mut Findings) -> Vec<Drain> {
     schema::check(document, &[DRAIN], findings);
     let mut drains = Vec::new();
     for section in sections(document, &DRAIN) {
@@ -49,7 +46,7 @@
     document: &Document,
     section: &Section,
     deployment: &Deployment,
-    findings: &mut Vec<Finding>,
+    findings: &mut Findings,
 ) -> Option<Drain> {
     let mut reader = Reader::new(&document.file, section, findings);
     let name = reader.name();
--- a/components/settings/src/read_node.rs
+++ b/components/settings/src/read_node.rs
@@ -1,6 +1,7 @@
 //! Reads and checks a node's own file.
 
 use crate::document::{Document, Section};
+use crate::findings::Findings;
 use crate::reader::{Bounds, Reader, items};
 use crate::schema::{self, Kind, sections};
 use crate::unit::Unit;
@@ -25,7 +26,7 @@
 const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
 /// Reads a node's file.
-pub fn read(document: &Document, findings: &mut Vec<Finding>) -> Node {
+pub fn read(document: &Document, findings: &mut Findings) -> Node {
     schema::check(document, &[NODE, LISTEN, PLATFORM, PEERS, KEYS, LOG], findings);
     let mut node = empty();
     with(document, &NODE, findings, |reader| {
@@ -58,7 +59,8 @@
     node
 }
 
-fn empty() -> Node {
+/// A node of nothing, which stands in for one that can't be read.
+pub fn empty() -> Node {
     Node {
         vm: "".into(),
         domain: "".into(),
@@ -76,7 +78,7 @@
     }
 }
 
-fn with<Read>(document: &Document, kind: &Kind, findings: &mut Vec<Finding>, read: Read)
+fn with<Read>(document: &Document, kind: &Kind, findings: &mut Findings, read: Read)
 where
     Read: FnOnce(&mut Reader<'_>),
 {
@@ -152,7 +154,7 @@
     entry.value.as_str().into()
 }
 
-fn check(document: &Document, node: &Node, findings: &mut Vec<Finding>) {
+fn check(document: &Document, node: &Node, findings: &mut Findings) {
     let listen: Option<&Section> = sections(document, &LISTEN).next();
     let mut report = |key: &str, problem: String, allowed: &str| {
         if listen.is_some_and(|section| section.entries.iter().any(|entry| entry.key == key)) {
--- a/components/settings/src/read_preset.rs
+++ b/components/settings/src/read_preset.rs
@@ -2,6 +2,7 @@
 
 use crate::check_deployment::{has_region, region_names};
 use crate::document::{Document, Section};
+use crate::findings::Findings;
 use crate::reader::{Bounds, Reader};
 use crate::schema::{self, Kind, locate, sections};
 use crate::unit::{Unit, span};
@@ -27,11 +28,7 @@
 const SHARE_SUM_SLACK: f64 = 1e-9;
 
 /// Reads the presets, which name regions of `deployment`.
-pub fn read(
-    document: &Document,
-    deployment: &Deployment,
-    findings: &mut Vec<Finding>,
-) -> Vec<Preset> {
+pub fn read(document: &Document, deployment: &Deployment, findings: &mut Findings) -> Vec<Preset> {
     schema::check(document, &[PRESET], findings);
     let presets: Vec<Preset> = sections(document, &PRESET)
         .map(|section| read_preset(document, section, deployment, findings))
@@ -49,7 +46,7 @@
     document: &Document,
     section: &Section,
     deployment: &Deployment,
-    findings: &mut Vec<Finding>,
+    findings: &mut Findings,
 ) -> Preset {
     let mut reader = Reader::new(&document.file, section, findings);
     let preset = Preset {
@@ -84,12 +81,7 @@
     shares
 }
 
-fn check(
-    document: &Document,
-    preset: &Preset,
-    deployment: &Deployment,
-    findings: &mut Vec<Finding>,
-) {
+fn check(document: &Document, preset: &Preset, deployment: &Deployment, findings: &mut Findings) {
     let head = format!("preset {}", preset.name);
     if preset.lease_max < preset.lease_first {
         findings.push(Finding {
--- a/components/settings/src/reader.rs
+++ b/components/settings/src/reader.rs
@@ -2,9 +2,11 @@
 
 use crate::Finding;
 use crate::document::{Entry, Section};
+use crate::findings::Findings;
 use crate::name;
 use crate::unit::{self, Unit};
 use clock::Millis;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 /// The least and the greatest number that a key allows.
@@ -41,12 +43,12 @@
     file: &'a str,
     section: &'a Section,
     known: Vec<String>,
-    findings: &'a mut Vec<Finding>,
+    findings: &'a mut Findings,
 }
 
 impl<'a> Reader<'a> {
     /// Reads `section` of `file`.
-    pub fn new(file: &'a str, section: &'a Section, findings: &'a mut Vec<Finding>) -> Reader<'a> {
+    pub fn new(file: &'a str, section: &'a Section, findings: &'a mut Findings) -> Reader<'a> {
         Reader { file, section, known: Vec::new(), findings }
     }
 
@@ -85,9 +87,10 @@
         let line = entry.map(|entry| entry.line).unwrap_or_default();
         self.check_filled(key, entry);
         let mut words: Vec<Arc<str>> = Vec::new();
+        let mut seen: HashSet<&str> = HashSet::new();
         for word in items(entry) {
             self.check_name(key, line, word);
-            if words.iter().any(|earlier| &**earlier == word) {
+            if !seen.insert(word) {
                 self.report(line, key, format!("`{word}` stands twice"), "each name once");
             }
             words.push(word.into());
--- a/components/settings/src/scan.rs
+++ b/components/settings/src/scan.rs
@@ -8,6 +8,8 @@
 
 const LINE_SHAPE: &str = "`[kind name]`, `key = value`, or a comment that starts with `#` or `;`";
 const MAX_FINDINGS: usize = 200;
+/// Lines that are neither blank nor comments; checking takes time that grows with them.
+const MAX_LINES: usize = 10_000;
 
 /// Where the sections and keys of one file stand.
 #[derive(Debug, Default)]
@@ -18,6 +20,9 @@
     pub clean: String,
     /// The lines that can't be parsed.
     pub findings: Vec<Finding>,
+    /// Whether the file has more lines than are read.
+    pub is_cut: bool,
+    lines: usize,
 }
 
 /// The lines of one section.
@@ -49,8 +54,13 @@
 
 impl Scan {
     fn take(&mut self, file: &str, number: usize, line: &str) {
-        match classify(line) {
+        let kind = classify(line);
+        if !matches!(kind, Line::Nothing) {
+            self.lines += 1;
+        }
+        match kind {
             Line::Nothing => {}
+            _ if self.lines > MAX_LINES => self.cut(file, number),
             Line::Head(name) => {
                 let name = name.trim().to_owned();
                 self.sections.push(Lines { head: number, name, keys: Vec::new() });
@@ -77,6 +87,20 @@
         }
     }
 
+    fn cut(&mut self, file: &str, number: usize) {
+        if self.is_cut {
+            return;
+        }
+        self.is_cut = true;
+        self.findings.push(Finding {
+            file: file.into(),
+            line: number,
+            problem: "the file has too many lines".into(),
+            allowed: format!("at most {MAX_LINES} lines that aren't blank or comments"),
+            ..Finding::default()
+        });
+    }
+
     fn keep(&mut self, line: &str) {
         self.clean.push_str(line);
         self.clean.push('\n');
--- a/components/settings/src/schema.rs
+++ b/components/settings/src/schema.rs
@@ -2,7 +2,9 @@
 
 use crate::Finding;
 use crate::document::{Document, Section};
+use crate::findings::Findings;
 use crate::name;
+use std::collections::HashMap;
 
 /// A kind of section.
 pub struct Kind {
@@ -12,14 +14,30 @@
     pub names: usize,
 }
 
+/// What makes two sections the same: their names in any order, since a link has no direction.
+#[derive(PartialEq, Eq, Hash)]
+struct Identity<'a> {
+    kind: &'a str,
+    names: Vec<&'a str>,
+}
+
+impl Identity<'_> {
+    fn new(section: &Section) -> Identity<'_> {
+        let mut names: Vec<&str> = section.names.iter().map(String::as_str).collect();
+        names.sort_unstable();
+        Identity { kind: &section.kind, names }
+    }
+}
+
 /// Reports unknown kinds, heads with too few or too many names, malformed names and duplicates.
-pub fn check(document: &Document, kinds: &[Kind], findings: &mut Vec<Finding>) {
-    for (index, section) in document.sections.iter().enumerate() {
+pub fn check(document: &Document, kinds: &[Kind], findings: &mut Findings) {
+    let mut seen: HashMap<Identity<'_>, usize> = HashMap::new();
+    for section in &document.sections {
         check_head(document, section, kinds, findings);
-        let earlier = document.sections[..index].iter().find(|other| is_same(other, section));
-        if let Some(first) = earlier {
+        let first = *seen.entry(Identity::new(section)).or_insert(section.line);
+        if first != section.line {
             findings.push(Finding {
-                problem: format!("the section stands twice, first on line {}", first.line),
+                problem: format!("the section stands twice, first on line {first}"),
                 allowed: "each section once".into(),
                 ..at(document, section)
             });
@@ -64,7 +82,7 @@
     }
 }
 
-fn check_head(document: &Document, section: &Section, kinds: &[Kind], findings: &mut Vec<Finding>) {
+fn check_head(document: &Document, section: &Section, kinds: &[Kind], findings: &mut Findings) {
     let Some(kind) = kinds.iter().find(|kind| kind.word == section.kind) else {
         let problem = "the section is unknown".into();
         findings.push(Finding { problem, allowed: heads(kinds), ..at(document, section) });
@@ -81,7 +99,7 @@
     }
 }
 
-fn check_keys(document: &Document, section: &Section, findings: &mut Vec<Finding>) {
+fn check_keys(document: &Document, section: &Section, findings: &mut Findings) {
     for (index, entry) in section.entries.iter().enumerate() {
         let mut earlier = section.entries[..index].iter();
         if let Some(first) = earlier.find(|other| other.key == entry.key) {
@@ -96,15 +114,6 @@
     }
 }
 
-/// Two sections are the same when their names are, in any order: a link has no direction.
-fn is_same(left: &Section, right: &Section) -> bool {
-    let mut lefts: Vec<&String> = left.names.iter().collect();
-    let mut rights: Vec<&String> = right.names.iter().collect();
-    lefts.sort();
-    rights.sort();
-    left.kind == right.kind && lefts == rights
-}
-
 fn heads(kinds: &[Kind]) -> String {
     kinds.iter().map(head).collect::<Vec<String>>().join(", ")
 }
--- a/components/settings/tests/declaration.rs
+++ b/components/settings/tests/declaration.rs
@@ -110,3 +110,47 @@
     let findings = settings::load(Path::new("no/such/directory")).unwrap_err();
     assert_eq!(findings.len(), 3);
 }
+
+const SITES: u32 = 110;
+const BLOCKS_PER_SITE: u32 = 1273;
+const SITE_STRIDE: u32 = 4096;
+
+/// A declaration of the size to design for, each block written as a network of its own.
+fn large() -> settings::Source {
+    let mut source = settings::read(&example("maalwerk")).unwrap();
+    for site in 0..SITES {
+        // Every other block, so that no two of them join; 64.0.0.0 is clear of the example's.
+        let first = (64 << 16) + site * SITE_STRIDE;
+        let network = |block| format!("{}/24", block::address(first + 2 * block));
+        let blocks: Vec<String> = (0..BLOCKS_PER_SITE).map(network).collect();
+        source.deployment.push_str(&format!(
+            "\n[site s{site}]\nregion = gent\ndelay = 3 ms\nblocks = {}\n",
+            blocks.join(", ")
+        ));
+    }
+    source
+}
+
+#[test]
+fn the_size_to_design_for_is_within_the_limits() {
+    let declaration = settings::parse(&large()).unwrap();
+    let sites = declaration.deployment.sites.iter().filter(|site| site.name.starts_with('s'));
+    let blocks: usize = sites.map(|site| site.blocks.len()).sum();
+    assert_eq!(blocks, (SITES * BLOCKS_PER_SITE) as usize);
+}
+
+#[test]
+fn findings_and_lines_are_bounded() {
+    let mut source = large();
+    source.deployment = source.deployment.replace("/24", "/25");
+    let findings = settings::parse(&source).unwrap_err();
+    assert_eq!(findings.len(), 1001);
+    let last = findings.last().unwrap().to_string();
+    assert_eq!(last, "deployment.ini: 139030 more findings are left out; allowed: none");
+
+    let mut source = large();
+    source.deployment.push_str(&"[site a]\n".repeat(10_000));
+    let findings = settings::parse(&source).unwrap_err();
+    assert_eq!(findings.len(), 1);
+    assert_eq!(findings[0].problem, "the file has too many lines");
+}
