--- a/components/control/src/fake/entry.rs
+++ b/components/control/src/fake/entry.rs
@@ -105,7 +105,12 @@
             number,
             address: address(number),
             incarnation,
-            state: Mutex::new(State { agent, held: None, leaving: false }),
+            state: Mutex::new(State {
+                agent,
+                held: None,
+                leaving: false,
+                leaving_upstreams: Vec::new(),
+            }),
         });
         let task = tokio::spawn(Arc::clone(&runner).run());
         Entry { runner, task }
