--- a/components/bench/src/experiment.rs
+++ b/components/bench/src/experiment.rs
@@ -1,4 +1,5 @@
 use crate::blocking::Blocking;
+use crate::headroom::Headroom;
 use crate::stragglers::Stragglers;
 use crate::{Scene, Table};
 
@@ -16,5 +17,5 @@
 
 /// Every experiment, in the order of `bench list`.
 pub fn experiments() -> Vec<Box<dyn Experiment>> {
-    vec![Box::new(Stragglers), Box::new(Blocking)]
+    vec![Box::new(Stragglers), Box::new(Blocking), Box::new(Headroom)]
 }
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -5,6 +5,7 @@
 mod blocking;
 mod experiment;
 mod fake;
+mod headroom;
 mod queue;
 mod scene;
 mod serving;
