--- a/components/entry/src/core.rs
+++ b/components/entry/src/core.rs
@@ -3,6 +3,7 @@
 use crate::limits::{Limits, Way};
 use crate::order::{Claimer, Ledger, Signer};
 use crate::service::Services;
+use crate::trace;
 use crate::view::View;
 use arc_swap::ArcSwapOption;
 use clock::{Clock, Millis};
@@ -64,6 +65,7 @@
     pub(crate) fn install(&self, view: View) {
         let now = self.clock.now();
         let view = Arc::new(view);
+        trace::installed(&view);
         self.services().update(&view, now);
         self.limits().update(&view, now);
         self.view.store(Some(view));
--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -45,7 +45,7 @@
 
     /// Puts `snapshot` in force for requests that arrive from now on.
     pub fn install(&self, snapshot: Arc<Snapshot>) {
-        self.core.install(View::new(snapshot));
+        self.core.install(View::new(snapshot, &self.core.config.domain));
     }
 
     /// Shuts down: refuses new work as not run, finishes what is in flight, and ends.
--- a/components/entry/src/limits.rs
+++ b/components/entry/src/limits.rs
@@ -2,14 +2,13 @@
 use clock::Millis;
 use errors::{Error, Kind};
 use std::sync::Arc;
-use steering::Regions;
 use steering::admission::{Admission, Admitted};
 use steering::limit::{Flow, Turn};
 use steering::planner::{Ack, Demand};
 use steering::share::{self, Caps};
 
-/// Steps of shifts and drains are taken at least this often.
-const TICK: Millis = Millis(100);
+/// Steps of shifts and drains are taken this often, whether requests come or not.
+pub(crate) const TICK: Millis = Millis(100);
 
 /// What this VM lets through into regions and over links.
 pub(crate) struct Limits {
@@ -18,7 +17,6 @@
     started: Millis,
     admission: Option<Admission>,
     links: Vec<Link>,
-    ticked: Millis,
 }
 
 /// The link to one region.
@@ -41,7 +39,7 @@
 impl Limits {
     pub(crate) fn new(vm: Arc<str>, domain: Arc<str>, started: Millis) -> Limits {
         let links = Vec::new();
-        Limits { vm, domain, started, admission: None, links, ticked: started }
+        Limits { vm, domain, started, admission: None, links }
     }
 
     /// Takes over a snapshot.
@@ -56,19 +54,21 @@
     /// Admits a request of `block` of region `home` into the region that serves it.
     pub(crate) fn admit(
         &mut self,
-        view: &View,
         home: u16,
         block: u32,
         draw: u32,
         now: Millis,
     ) -> Result<Admitted, Error> {
-        self.advance(view, now);
         self.admission()?.admit(home, block, draw, now)
     }
 
-    /// Admits a further attempt into `region`.
-    pub(crate) fn repeat(&mut self, region: u16, now: Millis) -> Result<(), Error> {
-        self.admission()?.repeat(region, now)
+    /// Admits a further attempt into `region`, under the cap of shifts too if it was moved there.
+    pub(crate) fn repeat(&mut self, region: u16, moved: bool, now: Millis) -> Result<(), Error> {
+        let admission = self.admission()?;
+        match moved {
+            true => admission.divert(region, now).map(|_| ()),
+            false => admission.repeat(region, now),
+        }
     }
 
     /// Admits a request into `region`, because the one that serves it has no upstream left.
@@ -77,14 +77,7 @@
     }
 
     /// The region in which look-ups name entry VMs.
-    pub(crate) fn serving(
-        &mut self,
-        view: &View,
-        home: u16,
-        block: u32,
-        now: Millis,
-    ) -> Result<u16, Error> {
-        self.advance(view, now);
+    pub(crate) fn serving(&mut self, home: u16, block: u32) -> Result<u16, Error> {
         Ok(self.admission()?.serving(home, block))
     }
 
@@ -123,16 +116,10 @@
         self.admission.as_mut().ok_or_else(not_ready)
     }
 
-    fn advance(&mut self, view: &View, now: Millis) {
-        if now - self.ticked >= TICK {
-            self.tick(view, now);
-        }
-    }
-
-    fn tick(&mut self, view: &View, now: Millis) {
-        self.ticked = now;
+    /// Takes the steps of shifts and drains that are due.
+    pub(crate) fn tick(&mut self, view: &View, now: Millis) {
         if let Some(admission) = &mut self.admission {
-            admission.tick(&view.index, Regions::NONE, now);
+            admission.tick(&view.index, view.down, now);
         }
         self.set_links(view, now);
     }
--- a/components/entry/src/look_up.rs
+++ b/components/entry/src/look_up.rs
@@ -20,7 +20,7 @@
     let now = core.clock.now();
     let renewals = renewals(core, query, now)?;
     let home = view.home(query.block)?;
-    let region = core.limits().serving(&view, home, query.block, now)?;
+    let region = core.limits().serving(home, query.block)?;
     let found = steering::lookup(&view.index, query.block, &query.service, region, now)?;
     let lease = lease::grant(&view.snapshot().preset, renewals, found.drain, now);
     log(&view, query, &found, &lease);
--- a/components/entry/src/poll.rs
+++ b/components/entry/src/poll.rs
@@ -1,21 +1,24 @@
 use crate::core::Core;
+use crate::limits::TICK;
 use futures_util::future::join_all;
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
 use tokio::task::JoinHandle;
 
-/// Asks upstreams for their load, again and again.
+/// What goes on in a VM whether requests come or not: load reports and the steps of shifts.
 pub(crate) struct Poller {
-    task: JoinHandle<()>,
+    tasks: [JoinHandle<()>; 2],
 }
 
 impl Poller {
     pub(crate) fn new(core: &Arc<Core>) -> Poller {
-        Poller { task: tokio::spawn(poll(Arc::downgrade(core))) }
+        let poll = tokio::spawn(poll(Arc::downgrade(core)));
+        let tick = tokio::spawn(tick(Arc::downgrade(core)));
+        Poller { tasks: [poll, tick] }
     }
 
     pub(crate) fn stop(&self) {
-        self.task.abort();
+        self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
 
@@ -25,6 +28,17 @@
     }
 }
 
+async fn tick(core: Weak<Core>) {
+    while let Some(core) = core.upgrade() {
+        let clock = core.clock;
+        if let Ok(view) = core.view() {
+            core.limits().tick(&view, clock.now());
+        }
+        drop(core);
+        clock.sleep(TICK).await;
+    }
+}
+
 async fn poll(core: Weak<Core>) {
     while let Some(core) = core.upgrade() {
         let addresses = core.services().addresses();
--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -5,12 +5,15 @@
 use clock::Millis;
 use errors::{Error, Kind};
 use std::sync::Arc;
+use steering::admission::Reason;
 use steering::choice::{Pick, Unavailable};
 
 /// Where a request goes: the region that it was admitted to and the upstreams that it has tried.
 pub(crate) struct Course {
     region: u16,
     tried: Vec<Arc<str>>,
+    /// Whether a shift moves the request there, so that further attempts count under its cap too.
+    moved: bool,
     /// Whether the region's window has room set aside for an attempt not yet made.
     admitted: bool,
 }
@@ -20,9 +23,9 @@
     pub(crate) fn open(core: &Core, job: &Job) -> Result<Course, Error> {
         let now = core.clock.now();
         job.time_to_send(now)?;
-        let admitted =
-            core.limits().admit(&job.view, job.home, job.request.block, job.draw(), now)?;
-        Ok(Course { region: admitted.region, tried: Vec::new(), admitted: true })
+        let admitted = core.limits().admit(job.home, job.request.block, job.draw(), now)?;
+        let moved = admitted.reason == Reason::Moved;
+        Ok(Course { region: admitted.region, tried: Vec::new(), moved, admitted: true })
     }
 
     /// Attempts made so far, hedges included.
@@ -71,7 +74,7 @@
     // An attempt takes room in its region's window before it counts at its upstream.
     fn enter(&self, core: &Core, job: &Job, pick: &Pick, now: Millis) -> Result<Chosen, Error> {
         if !self.admitted {
-            core.limits().repeat(self.region, now)?;
+            core.limits().repeat(self.region, self.moved, now)?;
         }
         start(core, job, self.region, pick, now)
     }
@@ -88,6 +91,7 @@
             match diverted {
                 Ok(_) => {
                     self.region = region;
+                    self.moved = true;
                     return start(core, job, region, &pick, now);
                 }
                 Err(error) => refused = refused.or(Some(error)),
--- a/components/entry/src/trace.rs
+++ b/components/entry/src/trace.rs
@@ -2,10 +2,19 @@
 
 use crate::flight::Chosen;
 use crate::job::Job;
+use crate::view::View;
 use caller::Refusal;
 use clock::Millis;
 use telemetry::{Action, Decision, names};
 
+/// Shows the configuration and the plan in force.
+pub(crate) fn installed(view: &View) {
+    let snapshot = view.snapshot();
+    metrics::gauge!(names::VERSION).set(snapshot.version as f64);
+    metrics::gauge!(names::PLAN_EPOCH).set(snapshot.plan.epoch as f64);
+    metrics::gauge!(names::PLAN_SEQUENCE).set(snapshot.plan.sequence as f64);
+}
+
 /// Logs the choice of an upstream.
 pub(crate) fn route(job: &Job, chosen: &Chosen) {
     decide(job, Action::Route, &chosen.upstream, chosen.reason.as_str());
--- a/components/entry/src/view.rs
+++ b/components/entry/src/view.rs
@@ -1,16 +1,36 @@
 use errors::{Error, Kind};
 use settings::{Region, Service};
 use std::sync::Arc;
-use steering::{Index, Snapshot, Vm};
+use steering::{Index, Regions, Snapshot, State, Vm};
 
 /// A snapshot with what is worked out from it once.
 pub(crate) struct View {
     pub(crate) index: Index,
+    /// Regions whose traffic has to be served elsewhere.
+    pub(crate) down: Regions,
 }
 
 impl View {
-    pub(crate) fn new(snapshot: Arc<Snapshot>) -> View {
-        View { index: Index::new(snapshot) }
+    /// The view of a VM in the failure domain `domain`.
+    pub(crate) fn new(snapshot: Arc<Snapshot>, domain: &str) -> View {
+        let mut view = View { index: Index::new(snapshot), down: Regions::NONE };
+        let own = view.region_of(domain);
+        let count = view.index.regions().len() as u16;
+        let down = (0..count).filter(|region| view.is_down(*region, own));
+        view.down = down.fold(Regions::NONE, Regions::with);
+        view
+    }
+
+    // A region is taken for lost if none of its entry VMs answers, or none of its upstreams takes
+    // new work. One VM is too few to tell: it may be its own control process that is dead.
+    fn is_down(&self, region: u16, own: Option<u16>) -> bool {
+        let snapshot = self.snapshot();
+        let here = |domain: &str| self.region_of(domain) == Some(region);
+        let vms = snapshot.vms.iter().filter(|vm| here(&vm.domain)).map(|vm| vm.state);
+        let upstreams = snapshot.upstreams.iter().filter(|upstream| here(&upstream.domain));
+        let upstreams = upstreams.map(|upstream| upstream.state);
+        let silent = own != Some(region) && is_lost(vms);
+        silent || is_lost(upstreams)
     }
 
     pub(crate) fn snapshot(&self) -> &Snapshot {
@@ -46,3 +66,10 @@
         (found.incarnation == 0 || found.incarnation == incarnation).then_some(found)
     }
 }
+
+fn is_lost<States>(mut states: States) -> bool
+where
+    States: Iterator<Item = State> + Clone,
+{
+    states.clone().next().is_some() && states.all(|state| state != State::Live)
+}
--- a/components/entry/tests/drive/mod.rs
+++ b/components/entry/tests/drive/mod.rs
@@ -1,6 +1,7 @@
 //! Reads the steps of a session and takes them in a world.
 
 mod departures;
+mod summary;
 
 use departures::Departures;
 
@@ -56,7 +57,7 @@
     let mut lines = world.transcript.lines();
     lines.extend(ran(&world, &departures)?);
     lines.retain(|line| !line.contains(WARM));
-    Ok(lines)
+    Ok(summary::fold_bursts(lines))
 }
 
 // Requests that only teach the entry VM what is usual; the transcript leaves them out.
@@ -97,6 +98,12 @@
             let ask = ask(prefixes, step)?;
             world.ask(ask);
         }
+        "burst" => {
+            let one = ask(prefixes, step)?;
+            for at in 0..number(step, "count")? {
+                world.ask(Ask { name: summary::name(&one.name, at), ..one.clone() });
+            }
+        }
         "gone" => world.callers[word(step)?].abort(),
         "prefix" => prefix(world, prefixes, step)?,
         "start" => world.start(word(step)?, number(step, "incarnation")?),
@@ -104,6 +111,8 @@
         "kill" => world.set(word(step)?, Mode::Killed),
         "freeze" => world.set(word(step)?, Mode::Frozen),
         "thaw" => world.set(word(step)?, Mode::Running),
+        "suspect" => world.set_vm(word(step)?, State::Suspect),
+        "live" => world.set_vm(word(step)?, State::Live),
         "platform" => platform(world, step)?,
         "relays" => relays(world, step)?,
         "fault" => fault(world, step)?,
--- a/components/entry/tests/sessions.rs
+++ b/components/entry/tests/sessions.rs
@@ -15,5 +15,6 @@
     { test = session, root = "../../tests/sessions/not-run", pattern = r"\.session$" },
     { test = session, root = "../../tests/sessions/response-integrity", pattern = r"\.session$" },
     { test = session, root = "../../tests/sessions/upstream-drain", pattern = r"\.session$" },
+    { test = session, root = "../../tests/sessions/region-overload", pattern = r"entry-.*\.session$" },
     { test = session, root = "../../tests/sessions/graceful-shutdown", pattern = r"\.session$" },
 }
--- a/components/entry/tests/whole_answers.rs
+++ b/components/entry/tests/whole_answers.rs
@@ -118,6 +118,7 @@
             // Nothing but the choice of upstreams depends on this list.
             assert!(world.server(&format!("m{upstream}")).load().is_ok());
             world.set_upstream(&format!("m{upstream}"), state);
+            world.set_vm("e2", state);
         }
     }
 }
--- a/components/entry/tests/world/mod.rs
+++ b/components/entry/tests/world/mod.rs
@@ -133,6 +133,12 @@
         self.install();
     }
 
+    /// Changes what the snapshot says of an entry VM.
+    pub fn set_vm(&mut self, name: &str, state: State) {
+        self.vm_mut(name).state = state;
+        self.install();
+    }
+
     /// The address of an upstream.
     pub fn address(&self, name: &str) -> SocketAddr {
         let mut upstreams = self.snapshot.upstreams.iter();
