--- a/components/entry/src/view.rs
+++ b/components/entry/src/view.rs
@@ -29,8 +29,8 @@
         let vms = snapshot.vms.iter().filter(|vm| here(&vm.domain)).map(|vm| vm.state);
         let upstreams = snapshot.upstreams.iter().filter(|upstream| here(&upstream.domain));
         let upstreams = upstreams.map(|upstream| upstream.state);
-        let silent = own != Some(region) && is_lost(vms);
-        silent || is_lost(upstreams)
+        let silent = own != Some(region) && all(vms, |state| state == State::Suspect);
+        silent || all(upstreams, |state| state != State::Live)
     }
 
     pub(crate) fn snapshot(&self) -> &Snapshot {
@@ -67,9 +67,11 @@
     }
 }
 
-fn is_lost<States>(mut states: States) -> bool
+/// Whether there are any states and each of them is as `holds` says.
+fn all<States, Holds>(mut states: States, holds: Holds) -> bool
 where
     States: Iterator<Item = State> + Clone,
+    Holds: Fn(State) -> bool,
 {
-    states.clone().next().is_some() && states.all(|state| state != State::Live)
+    states.clone().next().is_some() && states.all(holds)
 }
