--- a/components/bench/src/experiment.rs
+++ b/components/bench/src/experiment.rs
@@ -1,5 +1,7 @@
 use crate::blocking::Blocking;
 use crate::headroom::Headroom;
+use crate::orders::Orders;
+use crate::spread::Spreads;
 use crate::stragglers::Stragglers;
 use crate::{Scene, Table};
 
@@ -17,5 +19,11 @@
 
 /// Every experiment, in the order of `bench list`.
 pub fn experiments() -> Vec<Box<dyn Experiment>> {
-    vec![Box::new(Stragglers), Box::new(Blocking), Box::new(Headroom)]
+    vec![
+        Box::new(Stragglers),
+        Box::new(Blocking),
+        Box::new(Headroom),
+        Box::new(Orders),
+        Box::new(Spreads),
+    ]
 }
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -5,10 +5,13 @@
 mod blocking;
 mod experiment;
 mod fake;
+mod fleet;
 mod headroom;
+mod orders;
 mod queue;
 mod scene;
 mod serving;
+mod spread;
 mod stragglers;
 mod table;
 
--- a/components/caller/src/lookup.rs
+++ b/components/caller/src/lookup.rs
@@ -24,7 +24,7 @@
     pub lease_ms: u64,
     /// To be handed back at the renewal.
     pub token: Arc<str>,
-    /// What the ids of orders should begin with, followed by a dot and a name of the caller's own.
+    /// What the ids of orders should begin with, followed by `~` and a name of the caller's own.
     pub order_prefix: Arc<str>,
     /// The configuration version that the answer was made from.
     pub version: u64,
--- a/components/control/src/fake.rs
+++ b/components/control/src/fake.rs
@@ -6,14 +6,14 @@
 mod entry;
 mod gate;
 
-pub use entry::{Seen, Sight};
+pub use entry::{Seen, Sight, digest};
 
 use crate::spread::Fanout;
 use crate::{Agent, Config, Control, Platform, Spread};
 use clock::{Clock, Millis};
 use entry::Entry;
 use gate::Gate;
-use peer::fake::Network;
+use peer::fake::{Delay, Network};
 use platform::fake::Platform as Fake;
 use platform::{Machine, Role};
 use settings::{Class, Declaration, Node, Preset, Service};
@@ -67,7 +67,7 @@
     pub fn new(vms: usize, seed: u64) -> Cluster {
         let clock = Clock::at(START);
         let network = Network::new(seed);
-        network.set_delay(Arc::new(delay));
+        network.set_delay(delays(REGION_DELAY));
         Cluster {
             clock,
             network,
@@ -176,6 +176,23 @@
         }
     }
 
+    /// Lists an upstream at the platform.
+    pub fn enlist_upstream(&self, name: &str) {
+        self.platform.enlist(Machine {
+            name: name.into(),
+            domain: Arc::clone(&sample::vm(0).domain),
+            role: Role::Upstream { service: service().name, address: address(0) },
+            leaving: false,
+        });
+    }
+
+    /// Lets the VM's `entryd` report `upstreams` as leaving, and no others.
+    pub fn hear_leaving(&self, number: usize, upstreams: &[&str]) {
+        if let Some(vm) = self.vms.get(&number) {
+            vm.entry.hear_leaving(upstreams);
+        }
+    }
+
     /// The agent of the VM of this number, while it runs.
     pub fn agent(&self, number: usize) -> Option<Arc<Agent>> {
         self.vms.get(&number).map(|vm| vm.control.agent())
@@ -239,9 +256,10 @@
     }
 }
 
-fn delay(from: SocketAddr, to: SocketAddr) -> Millis {
+/// The delays of a fleet whose regions are `between` apart, one way.
+pub fn delays(between: Millis) -> Delay {
     let region = |address| sample::region_of_vm(number_of(address));
-    if region(from) == region(to) { DOMAIN_DELAY } else { REGION_DELAY }
+    Arc::new(move |from, to| if region(from) == region(to) { DOMAIN_DELAY } else { between })
 }
 
 fn service() -> Service {
--- a/components/control/src/roster.rs
+++ b/components/control/src/roster.rs
@@ -1,12 +1,19 @@
-use crate::config::{GONE_AFTER, NOTICE_HOLD, NOTICE_REFRESH};
+use crate::config::{GONE_AFTER, NOTICE_HOLD, NOTICE_REFRESH, UNSEEN_GONE_AFTER};
 use crate::gossip::Queue;
 use clock::Millis;
-use peer::message::{MAX_NOTICES, MAX_RECORDS, Notice, Record};
+use peer::message::{MAX_NOTICES, MAX_RECORDS, Notice, Record, Sample};
 use platform::{Listing, Machine, Role};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use steering::{State, Upstream, Vm};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Records in one part of a roster, on average.
+const PART_RECORDS: usize = 12;
+
+/// The most records of one part that a reply brings.
+const MAX_PART: usize = 32;
 
 /// The entry VMs and upstreams that a node knows of.
 ///
@@ -20,7 +27,10 @@
     notices: BTreeMap<Arc<str>, Millis>,
     /// Since when a VM that was listed is missing from the platform's list.
     missing: BTreeMap<Arc<str>, Millis>,
+    /// VMs that this node has seen in the platform's list.
     listed: BTreeSet<Arc<str>>,
+    /// VMs that it has only heard of from the plan.
+    expected: BTreeSet<Arc<str>>,
     gone: BTreeSet<Arc<str>>,
     fresh_records: Queue,
     fresh_notices: Queue,
@@ -36,6 +46,7 @@
             notices: BTreeMap::new(),
             missing: BTreeMap::new(),
             listed: BTreeSet::new(),
+            expected: BTreeSet::new(),
             gone: BTreeSet::new(),
             fresh_records: Queue::default(),
             fresh_notices: Queue::default(),
@@ -75,20 +86,35 @@
         self.fresh_records.push(self.name(), self.records.len());
     }
 
-    /// Takes in a record; returns whether it changed anything.
+    /// Takes in a record that a peer passes on; returns whether it changed anything.
+    ///
+    /// A record that is news is passed on; one that is known already is passed on less.
     pub fn merge(&mut self, record: Record) -> bool {
+        let name = Arc::clone(&record.vm.name);
+        let known = self.records.get(&name).is_some_and(|known| rank(known) == rank(&record));
+        if known {
+            self.fresh_records.heard(&name);
+            return false;
+        }
+        let changed = self.adopt(record);
+        if changed {
+            self.fresh_records.push(name, self.records.len());
+        }
+        changed
+    }
+
+    /// Takes in a record that the others get from the same source.
+    pub fn adopt(&mut self, record: Record) -> bool {
         if record.vm.name == self.own.vm.name {
             return self.refute(&record);
         }
         if self.gone.contains(&record.vm.name) {
             return false;
         }
-        let rank = |record: &Record| (record.beat, record.vm.state);
         match self.records.get(&record.vm.name) {
             Some(known) if rank(known) >= rank(&record) => return false,
             _ => {}
         }
-        self.fresh_records.push(Arc::clone(&record.vm.name), self.records.len());
         self.records.insert(Arc::clone(&record.vm.name), record);
         true
     }
@@ -136,6 +162,7 @@
 
     fn list_entry(&mut self, machine: &Machine) -> bool {
         self.listed.insert(Arc::clone(&machine.name));
+        self.expected.remove(&machine.name);
         self.gone.remove(&machine.name);
         let Role::Entry { caller, relay, peer } = machine.role else { return false };
         let mut record = match self.records.get(&machine.name) {
@@ -164,7 +191,7 @@
                 }
             });
         }
-        self.merge(record)
+        self.adopt(record)
     }
 
     fn replace_upstreams(&mut self, upstreams: BTreeMap<Arc<str>, Upstream>, now: Millis) -> bool {
@@ -176,19 +203,40 @@
         changed
     }
 
-    /// Forgets VMs that were listed and are missing for long enough.
+    /// Whether the platform's list was ever read.
+    pub fn has_listing(&self) -> bool {
+        !self.listed.is_empty()
+    }
+
+    /// Whether the platform's list has shown for long enough that a VM is gone for good.
+    pub fn is_gone(&self, name: &str) -> bool {
+        self.gone.contains(name)
+    }
+
+    /// Watches the platform's list for a VM that this node never saw itself.
+    pub fn expect(&mut self, name: &Arc<str>) {
+        if !self.gone.contains(name) && !self.listed.contains(name) {
+            self.expected.insert(Arc::clone(name));
+        }
+    }
+
+    /// Forgets VMs that don't answer and are missing from the list for long enough.
     fn forget_missing(&mut self, present: &BTreeSet<Arc<str>>, now: Millis) -> bool {
         let mut changed = false;
         self.missing.retain(|name, _| !present.contains(name));
-        for name in self.listed.clone() {
+        let watched: Vec<Arc<str>> = self.listed.union(&self.expected).cloned().collect();
+        for name in watched {
             if present.contains(&name) || name == self.own.vm.name {
                 continue;
             }
             let since = *self.missing.entry(Arc::clone(&name)).or_insert(now);
-            if now - since >= GONE_AFTER {
+            let after = if self.listed.contains(&name) { GONE_AFTER } else { UNSEEN_GONE_AFTER };
+            let answers = self.records.get(&name).is_some_and(|record| answers(&record.vm));
+            if now - since >= after && !answers {
+                changed |= self.records.remove(&name).is_some();
                 self.listed.remove(&name);
+                self.expected.remove(&name);
                 self.missing.remove(&name);
-                changed |= self.records.remove(&name).is_some();
                 self.gone.insert(name);
             }
         }
@@ -233,6 +281,36 @@
         names.iter().filter_map(|name| self.records.get(name)).cloned().collect()
     }
 
+    /// A sample of one part of the roster, chosen by `draw`.
+    pub fn sample(&self, draw: u16) -> Sample {
+        let parts = self.records.len().div_ceil(PART_RECORDS).min(usize::from(u16::MAX)) as u16;
+        let part = draw % parts.max(1);
+        Sample { part, parts, digest: self.digest(part, parts) }
+    }
+
+    /// The records of the sampled part, unless this roster has the same there.
+    pub fn differing(&self, sample: Sample) -> Vec<Record> {
+        if sample.parts == 0 || self.digest(sample.part, sample.parts) == sample.digest {
+            return Vec::new();
+        }
+        self.part(sample.part, sample.parts).take(MAX_PART).cloned().collect()
+    }
+
+    fn part(&self, part: u16, parts: u16) -> impl Iterator<Item = &Record> {
+        let parts = u64::from(parts.max(1));
+        self.records
+            .values()
+            .filter(move |record| xxh3_64(record.vm.name.as_bytes()) % parts == u64::from(part))
+    }
+
+    fn digest(&self, part: u16, parts: u16) -> u64 {
+        let digest = |record: &Record| {
+            let name = xxh3_64(record.vm.name.as_bytes());
+            xxh3_64_with_seed(&record.beat.to_le_bytes(), name ^ record.vm.state as u64)
+        };
+        self.part(part, parts).fold(0, |sum, record| sum ^ digest(record))
+    }
+
     /// Takes the notices to send.
     pub fn take_notices(&mut self, now: Millis) -> Vec<Notice> {
         let names = self.fresh_notices.take(MAX_NOTICES);
@@ -292,6 +370,15 @@
     }
 }
 
+/// The order of the records of one VM.
+fn rank(record: &Record) -> (u64, State) {
+    (record.beat, record.vm.state)
+}
+
+fn answers(vm: &Vm) -> bool {
+    vm.state != State::Suspect
+}
+
 fn list_upstream(machine: &Machine, service: &Arc<str>, address: SocketAddr) -> Upstream {
     Upstream {
         name: Arc::clone(&machine.name),
--- a/components/daemon/src/entryd.rs
+++ b/components/daemon/src/entryd.rs
@@ -7,10 +7,12 @@
 use peer::http::{Key, Relay, relay_router};
 use peer::local::Client;
 use platform::Table;
+use salvo::prelude::Router;
 use serde::Serialize;
 use settings::Node;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use telemetry::names;
 use tokio::task::JoinHandle;
 use upstream::Transport;
 
@@ -63,12 +65,13 @@
         let Bound { node, caller, relay } = self;
         let listen = Listen { caller: caller.address(), relay: relay.address() };
         let key = Key::new(Arc::clone(&node.peer_key));
+        let operator_key = operator::Key::new(Arc::clone(&node.operator_key));
         let entry = new_entry(&node, &key, table, clock)?;
-        let client = Client::new(key.clone(), local, node.peers.clone());
+        let client = Client::new(key.clone(), local, node.peers);
         let follower = tokio::spawn(follow(entry.clone(), client, clock));
         let listeners = [
             caller.serve(caller::router(Arc::new(entry.clone()))),
-            relay.serve(relay_router(key, Arc::new(entry.clone()))),
+            relay.serve(inside_router(key, operator_key, entry.clone())),
         ];
         Ok(Daemon { entry, follower, listeners, listen })
     }
@@ -87,9 +90,9 @@
         Ok(Bound { node, caller, relay })
     }
 
-    /// Whether a snapshot is in force that names at least `vms` entry VMs.
+    /// Whether a snapshot is in force whose plan gives shares to at least `vms` entry VMs.
     pub fn is_ready(&self, vms: usize) -> bool {
-        self.entry.snapshot().is_some_and(|snapshot| snapshot.vms.len() >= vms)
+        self.entry.snapshot().is_some_and(|snapshot| snapshot.plan.members.len() >= vms)
     }
 
     /// Where the daemon listens.
@@ -107,6 +110,13 @@
     }
 }
 
+/// Orders that other VMs relay, and metrics for operators.
+fn inside_router(key: Key, operator_key: operator::Key, entry: Entry) -> Router {
+    Router::new()
+        .push(operator::metrics_router(operator_key))
+        .push(relay_router(key, Arc::new(entry)))
+}
+
 fn new_entry(node: &Node, key: &Key, table: Arc<dyn Table>, clock: Clock) -> Result<Entry, Error> {
     let incarnation = clock.now().0;
     let (vm, domain) = (Arc::clone(&node.vm), Arc::clone(&node.domain));
@@ -121,14 +131,21 @@
 
 /// Installs snapshots as they come; while none come, the entry goes on with the one it has.
 async fn follow(entry: Entry, mut client: Client, clock: Clock) {
+    let mut heard = clock.now();
     loop {
         match client.next(entry.report()).await {
-            Ok(Some(snapshot)) => entry.install(snapshot),
-            Ok(None) => {}
+            Ok(snapshot) => {
+                heard = clock.now();
+                if let Some(snapshot) = snapshot {
+                    entry.install(snapshot);
+                }
+            }
             Err(failure) => {
                 log::warn!("no snapshot from controld: {failure}");
                 clock.sleep(RETRY).await;
             }
         }
+        let lag = (clock.now() - heard).as_secs_f64();
+        metrics::gauge!(names::LAG, names::SOURCE => "controld").set(lag);
     }
 }
--- a/components/entry/tests/world/mod.rs
+++ b/components/entry/tests/world/mod.rs
@@ -7,11 +7,12 @@
 pub use ask::Ask;
 pub use transcript::Transcript;
 
-use caller::Handler;
+use caller::{Handler, Method};
 use clock::{Clock, Millis};
 use entry::fake::{Mode, Process, Relays};
 use entry::{Config, Entry};
 use platform::fake::Platform;
+use settings::Class;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,6 +24,19 @@
 const SEED: u64 = 7;
 const RELAY_DELAY: Millis = Millis(2);
 
+/// Entry VMs admit nothing in their first second; sessions begin after it.
+pub const START: Millis = Millis::from_secs(1);
+
+/// What a world holds besides its entry VMs.
+pub struct Setup {
+    /// How often entry VMs ask upstreams for their load.
+    pub poll: Millis,
+    /// The services and their classes.
+    pub services: &'static [(&'static str, Class)],
+    /// Upstreams of each service, spread evenly over the failure domains.
+    pub upstreams: u16,
+}
+
 pub struct Node {
     pub process: Process,
     pub entry: Entry,
@@ -30,50 +44,54 @@
 
 pub struct World {
     pub clock: Clock,
+    poll: Millis,
     pub platform: Arc<Platform>,
     pub fleet: Arc<Fleet>,
     pub relays: Arc<Relays>,
     pub nodes: BTreeMap<String, Node>,
     pub transcript: Transcript,
     pub callers: BTreeMap<String, JoinHandle<()>>,
-    pub prefixes: BTreeMap<String, Arc<str>>,
     snapshot: Snapshot,
 }
 
 impl World {
-    /// Three entry VMs `e1` to `e3`, and six upstreams of each service.
-    pub fn new() -> World {
+    /// Three entry VMs `e1` to `e3`, and the upstreams of `setup`.
+    pub async fn new(setup: &Setup) -> World {
         let clock = Clock::at(Millis::ZERO);
-        let snapshot = layout::snapshot();
-        let world = World {
+        let snapshot = layout::snapshot(setup);
+        let mut world = World {
             clock,
+            poll: setup.poll,
             platform: Platform::new(clock),
             fleet: layout::fleet(&snapshot, clock),
             relays: Relays::new(clock, RELAY_DELAY),
             nodes: BTreeMap::new(),
             transcript: Transcript::default(),
             callers: BTreeMap::new(),
-            prefixes: BTreeMap::new(),
             snapshot,
         };
-        world.started()
-    }
-
-    fn started(mut self) -> World {
         for name in ["e1", "e2", "e3"] {
-            self.start(name, 1);
+            world.open(name, 1);
         }
-        self
+        world.install();
+        clock.sleep(START).await;
+        world
     }
 
     /// Starts the entry VM `name`, in place of the one that ran there.
     pub fn start(&mut self, name: &str, incarnation: u64) {
+        self.open(name, incarnation);
+        self.install();
+    }
+
+    fn open(&mut self, name: &str, incarnation: u64) {
         let vm = self.vm_mut(name);
         vm.incarnation = incarnation;
         vm.state = State::Live;
         let (domain, relay) = (Arc::clone(&vm.domain), vm.relay);
         let process = Process::new();
         let config = Config::new(name.into(), domain, incarnation, PEER_KEY.into());
+        let config = Config { poll: self.poll, ..config };
         let transport: Arc<dyn upstream::Transport> = Arc::clone(&self.fleet) as _;
         let entry = Entry::new(
             config,
@@ -85,7 +103,6 @@
         );
         self.relays.put(relay, process.clone(), entry.clone());
         self.nodes.insert(name.into(), Node { process, entry });
-        self.install();
     }
 
     /// Pauses, continues or kills an entry VM; callers of a killed one lose their connection.
@@ -116,6 +133,12 @@
         self.install();
     }
 
+    /// Plans a drain.
+    pub fn plan_drain(&mut self, drain: settings::Drain) {
+        self.snapshot.drains.push(drain);
+        self.install();
+    }
+
     /// The address of an upstream.
     pub fn address(&self, name: &str) -> SocketAddr {
         let mut upstreams = self.snapshot.upstreams.iter();
@@ -158,8 +181,8 @@
     }
 
     /// The order prefix that an entry VM gives callers.
-    pub fn prefix(&self, via: &str) -> Result<Arc<str>, String> {
-        let query = caller::lookup::Query { block: 0, service: "orders".into(), token: None };
+    pub fn prefix(&self, via: &str, block: u32) -> Result<Arc<str>, String> {
+        let query = caller::lookup::Query { block, service: "orders".into(), token: None };
         let answer = self.nodes[via].entry.look_up(&query);
         answer.map(|answer| answer.order_prefix).map_err(|refusal| refusal.error.to_string())
     }
@@ -167,6 +190,9 @@
     /// Breaks the promise's invariants down into errors: no order twice, no refusal untrue.
     pub fn check(&self) -> Result<(), String> {
         let ran = self.fleet.ran();
+        if ran.iter().any(|run| run.method == Method::POST && run.order.is_empty()) {
+            return Err("an order ran without its id".into());
+        }
         let mut orders = BTreeMap::new();
         for run in ran.iter().filter(|run| !run.order.is_empty()) {
             *orders.entry(&run.order).or_insert(0) += 1;
--- a/components/steering/src/sample.rs
+++ b/components/steering/src/sample.rs
@@ -131,19 +131,19 @@
 }
 
 fn plan(regions: Vec<Arc<str>>, vms: &[Vm]) -> Plan {
-    let each = WHOLE / vms.len() as u32;
-    let member = |(number, vm): (usize, &Vm)| Member {
+    let each = WHOLE / vms.len().max(1) as u32;
+    let member = |vm: &Vm| Member {
         vm: Arc::clone(&vm.name),
-        region: region_of_vm(number),
-        home: Units::even(each),
-        away: Units::even(each),
+        regions: vec![Units::even(each); REGIONS.len()],
+        shift: Units::even(each),
     };
     let split = Split::nearest(regions.len());
     Plan {
         epoch: 1,
         sequence: 1,
         version: 1,
-        members: vms.iter().enumerate().map(member).collect(),
+        demand: 0,
+        members: vms.iter().map(member).collect(),
         from: vec![Segment { until: WHOLE, split: split.clone() }],
         to: split,
         settled: WHOLE,
--- a/components/steering/src/shift.rs
+++ b/components/steering/src/shift.rs
@@ -14,10 +14,10 @@
 /// The fine position after the last.
 const END: u64 = (WHOLE as u64) << DRAW_BITS;
 
-/// The part of the limit that the next slab is meant to use, so that bursts fit too.
-const FILL: f64 = 0.7;
+/// The part of the limit that the slabs under way are meant to use, so that bursts fit too.
+const FILL: f64 = 0.8;
 
-/// The most by which a slab grows from one step to the next.
+/// The most by which the slabs under way grow from one step to the next.
 const GROWTH: f64 = 4.0;
 
 /// The most changes of target that may be mixed before a shift has to end.
@@ -26,15 +26,22 @@
 const SECOND: Millis = Millis::from_secs(1);
 
 /// What one node knows of its own traffic's shift.
+///
+/// Positions below `warm` have moved. Those from `warm` to `settled` have had a step to move, and
+/// those from `settled` to `progress` are having theirs; both are under the shift cap, because
+/// caches are still cold for the blocks that came late in their step.
 #[derive(Clone, Debug)]
 pub struct Shift {
     regions: Arc<[Arc<str>]>,
     base: Vec<Track>,
     target: Aim,
     wanted: Aim,
+    warm: u64,
     settled: u64,
     progress: u64,
-    slab: u64,
+    generation: u64,
+    started: Millis,
+    moving: f64,
     step: Step,
     demand: Demand,
     limits: Vec<u32>,
@@ -45,6 +52,15 @@
 pub enum Route {
     /// To a region that serves this position already.
     Stay(u16),
+    /// To `to`, where the position has moved; to `old` if more arrives than `to` is warm for.
+    ///
+    /// Callers that renew at another node bring it traffic that it hasn't moved itself.
+    Moved {
+        /// The region that serves the position.
+        to: u16,
+        /// The region that served it before the shift; `None` if it is lost.
+        old: Option<u16>,
+    },
     /// To `to` if the shift limiter admits it there; else to `old`, if that can still serve.
     Move {
         /// The region that is to serve the position.
@@ -52,6 +68,8 @@
         /// The region that serves it until then; `None` if it is lost.
         old: Option<u16>,
     },
+    /// To the region that serves it until its turn to move comes.
+    Wait(u16),
     /// Nowhere yet: the region that served the position is lost and its turn to move hasn't come.
     Held,
     /// Nowhere: every region is lost.
@@ -69,8 +87,12 @@
     pub down: Regions,
     /// The node's shift limit into each region, in requests a second.
     pub limits: &'a [u32],
+    /// The shift cap into a region over all nodes, in requests a second.
+    pub cap: u32,
     /// How long a slab must serve before the next one moves.
     pub step: Millis,
+    /// The longest lease of a caller.
+    pub lease: Millis,
     /// The time.
     pub now: Millis,
 }
@@ -87,6 +109,8 @@
 struct Track {
     until: u64,
     aim: Aim,
+    /// Regions that were lost since, so that their caches are cold though they may be back.
+    cold: Regions,
 }
 
 /// What happened to the slab since the step began.
@@ -114,6 +138,7 @@
         let track = |segment: &crate::Segment| Track {
             until: fine(segment.until),
             aim: Aim { split: renumber(&segment.split), lost: Regions::NONE },
+            cold: Regions::NONE,
         };
         let target = Aim { split: renumber(&tick.plan.to), lost: Regions::NONE };
         let settled = fine(tick.plan.settled);
@@ -122,9 +147,12 @@
             base: tick.plan.from.iter().map(track).collect(),
             wanted: target.clone(),
             target,
+            warm: settled,
             settled,
             progress: settled,
-            slab: 0,
+            generation: 0,
+            started: tick.now,
+            moving: 1.0,
             step: Step::new(tick.now, tick.regions.len()),
             demand: Demand::default(),
             limits: tick.limits.to_vec(),
@@ -140,20 +168,20 @@
         let Some(new) = self.target.region(home, block) else {
             return Route::Lost;
         };
-        if at < self.settled {
-            return Route::Stay(new);
-        }
         match self.old(at, home, block) {
-            Some(old) if old == new || at >= self.progress => Route::Stay(old),
+            Some(old) if old == new => Route::Stay(old),
+            old if at < self.warm => Route::Moved { to: new, old },
             old if at < self.progress => Route::Move { to: new, old },
-            _ => Route::Held,
+            Some(old) => Route::Wait(old),
+            None => Route::Held,
         }
     }
 
     /// The region in which look-ups name entry VMs for `block`.
     pub fn serving(&self, home: u16, block: u32) -> u16 {
         match self.route(home, block, 0) {
-            Route::Stay(region) => region,
+            Route::Stay(region) | Route::Wait(region) => region,
+            Route::Moved { to, .. } => to,
             Route::Move { to, old } => old.unwrap_or(to),
             Route::Held | Route::Lost => self.target.region(home, block).unwrap_or(home),
         }
@@ -164,7 +192,10 @@
         self.demand.count(now);
     }
 
-    /// Counts an attempt to move a request to `to` and whether the shift limiter admitted it.
+    /// Counts an attempt to move a request to `to` and whether the shift cap admitted it.
+    ///
+    /// A request that finds `to` full isn't an attempt: it stays with its old region whether or not
+    /// the position has moved, and the shift may go on.
     pub fn attempt(&mut self, to: u16, admitted: bool, now: Millis) {
         self.step.count(to, &self.limits, now);
         self.step.deferred |= !admitted;
@@ -172,6 +203,10 @@
 
     /// Takes over a new plan or a change of the regions that are up, and ends steps.
     pub fn tick(&mut self, tick: &Tick<'_>) {
+        if self.base.is_empty() && !tick.plan.from.is_empty() {
+            let generation = self.generation + 1;
+            *self = Shift { demand: self.demand.clone(), generation, ..Shift::new(tick) };
+        }
         self.renumber(tick.regions);
         self.limits.clear();
         self.limits.extend_from_slice(tick.limits);
@@ -184,6 +219,25 @@
         if tick.now - self.step.start >= tick.step {
             self.end_step(tick);
         }
+        self.forget(tick);
+    }
+
+    /// Forgets where traffic came from once every node has moved it and every caller has renewed.
+    ///
+    /// While a region is lost no node can know that of the others, so nothing is forgotten.
+    fn forget(&mut self, tick: &Tick<'_>) {
+        let ended = self.warm == END && self.wanted == self.target;
+        let renewed = tick.now - self.started >= tick.lease;
+        if ended && renewed && tick.plan.is_settled() && self.target.lost == Regions::NONE {
+            self.base.clear();
+            let cold = Regions::NONE;
+            self.base.push(Track { until: END, aim: self.target.clone(), cold });
+        }
+    }
+
+    /// Rises whenever a shift starts at this node.
+    pub fn generation(&self) -> u64 {
+        self.generation
     }
 
     /// How much of the plan's shift this node has done, in units of [`WHOLE`].
@@ -191,63 +245,86 @@
         if self.target.split != self.wanted.split {
             return 0;
         }
-        (self.settled >> DRAW_BITS) as u32
+        (self.warm >> DRAW_BITS) as u32
     }
 
     fn is_closed(&self) -> bool {
-        self.settled == self.progress
+        self.warm == self.progress
     }
 
     fn old(&self, at: u64, home: u16, block: u32) -> Option<u16> {
         let track = self.base.iter().find(|track| at < track.until)?;
         let old = track.aim.region(home, block)?;
-        (!self.wanted.lost.contains(old)).then_some(old)
+        let lost = self.wanted.lost.union(self.target.lost).union(track.cold);
+        (!lost.contains(old)).then_some(old)
     }
 
     /// Starts a shift to the wanted target from where this node serves its traffic now.
     fn rebase(&mut self, tick: &Tick<'_>) {
-        let mut base = vec![Track { until: self.settled, aim: self.target.clone() }];
-        base.extend(self.base.drain(..).filter(|track| track.until > self.settled));
+        let moved = Track { until: self.warm, aim: self.target.clone(), cold: Regions::NONE };
+        let mut base = vec![moved];
+        base.extend(self.base.drain(..).filter(|track| track.until > self.warm));
         base.retain(|track| track.until > 0);
+        base.iter_mut().for_each(|track| track.cold = track.cold.union(self.target.lost));
         base.dedup_by(|later, earlier| {
-            let same = later.aim == earlier.aim;
+            let same = later.aim == earlier.aim && later.cold == earlier.cold;
             earlier.until = if same { later.until } else { earlier.until };
             same
         });
+        self.moving =
+            base.iter().map(|track| track.aim.moved_part(&self.wanted)).fold(0.0, f64::max);
         self.base = base;
         self.target = self.wanted.clone();
+        self.generation += 1;
+        self.started = tick.now;
+        self.warm = 0;
         self.settled = 0;
         self.progress = 0;
-        self.open(self.guess(), tick);
+        self.open(self.guess().min(self.pace(tick)), tick);
     }
 
+    /// Lets the slabs of the last step go on, or takes some of them back if requests had to wait.
     fn end_step(&mut self, tick: &Tick<'_>) {
+        let changed = self.wanted != self.target && self.base.len() < MAX_SEGMENTS;
+        let zone = self.progress - self.warm;
+        let fitting = match self.step.peak {
+            0.0 => self.guess(),
+            peak => (zone as f64 * (FILL / peak).min(GROWTH)) as u64,
+        };
+        let fitting = fitting.min(self.pace(tick));
         if self.step.deferred {
-            let slab = (self.progress - self.settled) / 2;
-            self.open(slab, tick);
-            return;
+            let kept = if changed { 0 } else { fitting.min(zone / 2) };
+            self.progress = self.warm + kept;
+            self.settled = self.settled.min(self.progress);
+        } else {
+            self.warm = self.settled;
+            self.settled = self.progress;
         }
-        self.settled = self.progress;
-        if self.settled == END {
-            self.base = vec![Track { until: END, aim: self.target.clone() }];
-        }
-        if self.wanted != self.target && self.base.len() < MAX_SEGMENTS {
+        if changed && self.is_closed() {
             self.rebase(tick);
             return;
         }
-        let slab = match self.step.peak {
-            0.0 => self.guess(),
-            peak => (self.slab as f64 * (FILL / peak).min(GROWTH)) as u64,
-        };
-        self.open(slab, tick);
+        let more = !changed && !self.step.deferred;
+        let slab = fitting.saturating_sub(self.settled - self.warm);
+        self.open(if more { slab } else { self.progress - self.settled }, tick);
     }
 
     fn open(&mut self, slab: u64, tick: &Tick<'_>) {
-        self.slab = slab.max(1);
-        self.progress = (self.settled + self.slab).min(END);
+        let least = if self.is_closed() && self.wanted == self.target { 1 } else { 0 };
+        self.progress = (self.settled + slab.max(least)).min(END);
         self.step = Step::new(tick.now, tick.regions.len());
     }
 
+    /// The slabs that fit the cap over all nodes.
+    ///
+    /// A node with little to move keeps to it too, because its look-ups send the callers of others
+    /// to where the position has moved.
+    fn pace(&self, tick: &Tick<'_>) -> u64 {
+        let moving = f64::from(tick.plan.demand) * self.moving;
+        let part = FILL * f64::from(tick.cap) / moving.max(1.0);
+        (END as f64 * part.min(1.0)) as u64
+    }
+
     /// A slab that fits if requests are spread evenly and all of them move to one region.
     fn guess(&self) -> u64 {
         let limit = self.limits.iter().copied().filter(|limit| *limit > 0).min().unwrap_or(0);
@@ -260,6 +337,7 @@
         if self.regions == *regions {
             return;
         }
+        self.base.iter_mut().for_each(|track| track.cold = Regions::NONE);
         let aims = self.base.iter_mut().map(|track| &mut track.aim);
         for aim in aims.chain([&mut self.target]) {
             aim.split = aim.split.renumber(&self.regions, regions);
@@ -275,6 +353,29 @@
     }
 }
 
+impl Aim {
+    /// The part of the traffic that is served elsewhere under `other`, if all home regions have as
+    /// much.
+    fn moved_part(&self, other: &Aim) -> f64 {
+        let rows = self.split.rows.iter().zip(&other.split.rows);
+        let parts = rows.map(|(old, new)| {
+            let (old, new) = (self.parts(old), other.parts(new));
+            let gains = old.iter().zip(&new).map(|(old, new)| (new - old).max(0.0));
+            gains.sum::<f64>()
+        });
+        parts.sum::<f64>() / self.split.rows.len().max(1) as f64
+    }
+
+    fn parts(&self, row: &[u32]) -> Vec<f64> {
+        let weight = |(region, weight): (usize, &u32)| {
+            if self.lost.contains(region as u16) { 0.0 } else { f64::from(*weight) }
+        };
+        let weights: Vec<f64> = row.iter().enumerate().map(weight).collect();
+        let sum = weights.iter().sum::<f64>().max(1.0);
+        weights.iter().map(|weight| weight / sum).collect()
+    }
+}
+
 impl Step {
     fn new(start: Millis, regions: usize) -> Step {
         let attempts = vec![0; regions];
