--- a/components/bench/src/headroom.rs
+++ b/components/bench/src/headroom.rs
@@ -89,7 +89,8 @@
     for second in 0..WARM_UP + SECONDS {
         let now = EPOCH + Millis(second * SECOND_MS);
         for (vm, window) in windows.iter_mut().enumerate() {
-            let limits = limits(&plan, caps, &snapshot.vms[vm].name, now);
+            let home = &snapshot.deployment.regions[region(vm)].name;
+            let limits = limits(&plan, caps, &snapshot.vms[vm].name, home, now);
             window.set_cap(limits.regions[region(vm)].requests);
         }
         let mut demand = vec![0; vms];
@@ -172,12 +173,16 @@
 ) -> Option<Plan> {
     let regions = snapshot.deployment.regions.len();
     let ack = Ack { stamp: old.stamp(), shift: old.shift, settled: WHOLE };
+    let asked = |vm: usize| {
+        let region = |number| if number == vm % regions { demand[vm] } else { 0 };
+        (0..regions).map(region).collect()
+    };
     let report = |vm: usize| Report {
         vm: std::sync::Arc::clone(&snapshot.vms[vm].name),
         region: (vm % regions) as u16,
         state: State::Live,
         ack: Some(ack),
-        demand: Demand { home: demand[vm], away: 0 },
+        demand: Demand { regions: asked(vm), moving: 0 },
     };
     let reports: Vec<Report> = (0..demand.len()).map(report).collect();
     planner::next(
