--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -1,5 +1,6 @@
 //! Random schedules of faults against the promise that an order runs at most once.
 
+#[allow(dead_code, reason = "each test file uses a part of the world")]
 mod world;
 
 use clock::Millis;
--- a/components/entry/tests/whole_answers.rs
+++ b/components/entry/tests/whole_answers.rs
@@ -1,5 +1,6 @@
 //! Random faults against the promise that each caller gets the whole answer to its own request.
 
+#[allow(dead_code, reason = "each test file uses a part of the world")]
 mod world;
 
 use clock::Millis;
