--- a/components/entry/tests/drive/departures.rs
+++ b/components/entry/tests/drive/departures.rs
@@ -26,6 +26,14 @@
         self.changes.entry(step.words[0].clone()).or_default().push(change);
     }
 
+    /// Notes that a drain of the upstream is planned.
+    pub fn note_drain(&mut self, upstream: &str, start: Millis, end: Millis) {
+        let changes = self.changes.entry(upstream.into()).or_default();
+        changes.push(Change { at: start, leaves: true });
+        changes.push(Change { at: end, leaves: false });
+        changes.sort_by_key(|change| change.at);
+    }
+
     /// Since when the upstream has been leaving at `at`, if it has.
     pub fn since(&self, upstream: &str, at: Millis) -> Option<Millis> {
         let changes = self.changes.get(upstream)?;
--- a/components/entry/tests/drive/mod.rs
+++ b/components/entry/tests/drive/mod.rs
@@ -48,6 +48,10 @@
             warm(&mut world, step).await?;
             continue;
         }
+        if step.verb == "drain" {
+            drain(&mut world, &mut departures, step)?;
+            continue;
+        }
         departures.note(&world, step);
         take(&mut world, &mut prefixes, step)?;
     }
@@ -108,7 +112,6 @@
         "relays" => relays(world, step)?,
         "fault" => fault(world, step)?,
         "upstream" => upstream(world, step)?,
-        "drain" => drain(world, step)?,
         verb => return Err(format!("unknown step {verb}").into()),
     }
     Ok(())
@@ -203,15 +206,32 @@
     Ok(())
 }
 
-fn drain(world: &mut World, step: &Step) -> Result<(), Box<dyn Error>> {
+// Plans a drain of one VM or of a failure domain, from `start` to `end` of the session.
+fn drain(
+    world: &mut World,
+    departures: &mut Departures,
+    step: &Step,
+) -> Result<(), Box<dyn Error>> {
     let target = match (step.option("vm"), step.option("domain")) {
         (Some(name), None) => Target::Vm(name.into()),
         (None, Some(name)) => Target::Domain(name.into()),
         _ => return Err("a drain has vm or domain".into()),
     };
     let (start, end) = (Millis(number(step, "start")?), Millis(number(step, "end")?));
-    let (start, end) = (START + start, START + end);
-    world.plan_drain(Drain { name: word(step)?.into(), target, start, end });
+    let drain = Drain { name: word(step)?.into(), target, start: START + start, end: START + end };
+    world.configure(|snapshot| {
+        for upstream in &snapshot.upstreams {
+            let is_touched = match &drain.target {
+                Target::Vm(name) => upstream.name == *name,
+                Target::Domain(name) => upstream.domain == *name,
+                Target::Region(_) => false,
+            };
+            if is_touched {
+                departures.note_drain(&upstream.name, drain.start, drain.end);
+            }
+        }
+        snapshot.drains.push(drain);
+    });
     Ok(())
 }
 
--- a/components/entry/tests/world/mod.rs
+++ b/components/entry/tests/world/mod.rs
@@ -125,17 +125,21 @@
 
     /// Changes what the configuration says of an upstream.
     pub fn set_upstream(&mut self, name: &str, state: State) {
-        for upstream in &mut self.snapshot.upstreams {
-            if &*upstream.name == name {
-                upstream.state = state;
+        self.configure(|snapshot| {
+            for upstream in &mut snapshot.upstreams {
+                if &*upstream.name == name {
+                    upstream.state = state;
+                }
             }
-        }
-        self.install();
+        });
     }
 
-    /// Plans a drain.
-    pub fn plan_drain(&mut self, drain: settings::Drain) {
-        self.snapshot.drains.push(drain);
+    /// Puts another snapshot in force.
+    pub fn configure<Change>(&mut self, change: Change)
+    where
+        Change: FnOnce(&mut Snapshot),
+    {
+        change(&mut self.snapshot);
         self.install();
     }
 
--- a/src/cmd/trial/load.rs
+++ b/src/cmd/trial/load.rs
@@ -82,7 +82,7 @@
             Class::Long => BYTES_LONG,
         };
         let path: Arc<str> = format!("/bytes/{bytes}/{}-{number}", self.seed).into();
-        let is_order = number / self.services.len() as u64 % ORDER_EVERY == 0;
+        let is_order = (number / self.services.len() as u64).is_multiple_of(ORDER_EVERY);
         let order = match is_order && service.class == Class::Short {
             true => self.order_id(&service.name, number).await,
             false => None,
