Name kinds of errors and reasons alike in answers, logs and metrics

Refusals were counted under Rust's debug form of the kind and logged without block, plan and version; refused look-ups weren't logged at all. Kind::as_str is held to the serialised form by a test.

--- a/components/entry/src/entry.rs
+++ b/components/entry/src/entry.rs
@@ -71,16 +71,19 @@
 #[async_trait]
 impl Handler for Entry {
     fn look_up(&self, query: &lookup::Query) -> Result<lookup::Answer, Refusal> {
-        Ok(look_up(&self.core, query)?)
+        look_up(&self.core, query).map_err(|error| {
+            trace::refused(&self.core, "", query.block, &query.service, &error);
+            error.into()
+        })
     }
 
     async fn forward(&self, request: Request) -> Result<Reply, Refusal> {
         let id = request.id.clone();
         let id = id.unwrap_or_else(|| format!("{:016x}", self.core.random()).into());
-        let service = Arc::clone(&request.service);
+        let (service, block) = (Arc::clone(&request.service), request.block);
         let result = self.serve(Arc::clone(&id), request).await;
         result.map_err(|refusal| {
-            trace::refused(&id, &service, &refusal);
+            trace::refused(&self.core, &id, block, &service, &refusal.error);
             Refusal { request: Some(id), ..refusal }
         })
     }
--- a/components/entry/src/look_up.rs
+++ b/components/entry/src/look_up.rs
@@ -64,8 +64,8 @@
 }
 
 fn log(view: &View, query: &Query, found: &Lookup, lease: &Lease) {
-    let reason = format!("{:?}", found.reason);
-    metrics::counter!(names::LOOKUPS, names::REASON => reason.clone()).increment(1);
+    let reason = found.reason.as_str();
+    metrics::counter!(names::LOOKUPS, names::REASON => reason).increment(1);
     metrics::histogram!(names::LEASE).record(lease.span.as_secs_f64());
     let snapshot = view.snapshot();
     let first = found.entries.as_slice().first();
@@ -76,7 +76,7 @@
         block: Some(query.block),
         service: &query.service,
         choice,
-        reason: &reason,
+        reason,
         epoch: snapshot.plan.epoch,
         sequence: snapshot.plan.sequence,
         version: snapshot.version,
--- a/components/entry/src/trace.rs
+++ b/components/entry/src/trace.rs
@@ -1,9 +1,10 @@
 //! What is logged and counted of each request.
 
+use crate::core::Core;
 use crate::flight::Chosen;
 use crate::job::Job;
-use caller::Refusal;
 use clock::Millis;
+use errors::Error;
 use telemetry::{Action, Decision, names};
 
 /// Logs the choice of an upstream.
@@ -42,20 +43,22 @@
     metrics::histogram!(names::LATENCY, names::SERVICE => service).record(span.as_secs_f64());
 }
 
-/// Logs and counts a refusal.
-pub(crate) fn refused(id: &str, service: &str, refusal: &Refusal) {
-    let kind = format!("{:?}", refusal.error.kind);
-    metrics::counter!(names::REFUSALS, names::KIND => kind.clone()).increment(1);
+/// Logs and counts a refusal; `id` is empty for a look-up.
+pub(crate) fn refused(core: &Core, id: &str, block: u32, service: &str, error: &Error) {
+    let kind = error.kind.as_str();
+    metrics::counter!(names::REFUSALS, names::KIND => kind).increment(1);
+    let view = core.view.load();
+    let snapshot = view.as_ref().map(|view| view.snapshot());
     telemetry::decide(&Decision {
         action: Action::Refuse,
         request: id,
-        block: None,
+        block: Some(block),
         service,
-        choice: &kind,
-        reason: &refusal.error.context,
-        epoch: 0,
-        sequence: 0,
-        version: 0,
+        choice: kind,
+        reason: &error.context,
+        epoch: snapshot.map_or(0, |snapshot| snapshot.plan.epoch),
+        sequence: snapshot.map_or(0, |snapshot| snapshot.plan.sequence),
+        version: snapshot.map_or(0, |snapshot| snapshot.version),
     });
 }
 
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -1,4 +1,5 @@
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// Every way in which heatherbend can fail, for callers, operators and peers alike.
 ///
@@ -85,4 +86,40 @@
         Kind::Fenced,
         Kind::Internal,
     ];
+
+    /// The name in answers, logs and metrics; the same as in its serialised form.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Kind::Malformed => "malformed",
+            Kind::TooLarge => "too_large",
+            Kind::UnknownBlock => "unknown_block",
+            Kind::UnknownService => "unknown_service",
+            Kind::ForgedToken => "forged_token",
+            Kind::Unauthorized => "unauthorized",
+            Kind::BadSettings => "bad_settings",
+            Kind::Conflict => "conflict",
+            Kind::Overloaded => "overloaded",
+            Kind::ShiftCapped => "shift_capped",
+            Kind::NoUpstream => "no_upstream",
+            Kind::Leaving => "leaving",
+            Kind::NotReady => "not_ready",
+            Kind::PlatformDown => "platform_down",
+            Kind::DeadlineBeforeSend => "deadline_before_send",
+            Kind::DeadlineAfterSend => "deadline_after_send",
+            Kind::UpstreamBroken => "upstream_broken",
+            Kind::UpstreamShed => "upstream_shed",
+            Kind::OutcomeUnknown => "outcome_unknown",
+            Kind::AlreadyRan => "already_ran",
+            Kind::OrderExpired => "order_expired",
+            Kind::EntityChanged => "entity_changed",
+            Kind::Fenced => "fenced",
+            Kind::Internal => "internal",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
 }
--- a/components/errors/tests/page.rs
+++ b/components/errors/tests/page.rs
@@ -7,26 +7,14 @@
 fn row(kind: Kind) -> String {
     let answer = answer(kind);
     let retry = answer.retry_after.map_or("-".into(), |span| format!("{} s", span.0 / 1000));
-    let name = snake(&format!("{kind:?}"));
     format!(
-        "| `{name}` | {} | `{}` | {retry} | {} |",
+        "| `{kind}` | {} | `{}` | {retry} | {} |",
         answer.status,
         answer.ran.as_str(),
         answer.exit
     )
 }
 
-fn snake(name: &str) -> String {
-    let mut text = String::new();
-    for c in name.chars() {
-        if c.is_ascii_uppercase() && !text.is_empty() {
-            text.push('_');
-        }
-        text.push(c.to_ascii_lowercase());
-    }
-    text
-}
-
 #[test]
 fn the_page_has_the_row_of_every_kind_and_no_other() {
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/ERRORS.md");
@@ -40,3 +28,10 @@
         Kind::ALL.iter().map(|kind| row(*kind).trim_end_matches(" |").to_owned()).collect();
     assert_eq!(written, expected);
 }
+
+#[test]
+fn the_name_of_a_kind_is_its_serialised_form() {
+    for kind in Kind::ALL {
+        assert_eq!(serde_json::to_value(kind).unwrap(), kind.as_str());
+    }
+}
--- a/components/operator/src/router.rs
+++ b/components/operator/src/router.rs
@@ -98,7 +98,7 @@
         match self.act(req, res).await {
             Ok(()) => count(act, "done"),
             Err(refusal) => {
-                log::info!(act, kind:? = refusal.kind; "refused an operator's request");
+                log::info!(act, kind = refusal.kind.as_str(); "refused an operator's request");
                 count(act, "refused");
                 refuse(res, &refusal);
             }
--- a/components/steering/src/lookup.rs
+++ b/components/steering/src/lookup.rs
@@ -63,6 +63,19 @@
     AllLeaving,
 }
 
+impl Reason {
+    /// The name in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Reason::Ranked => "ranked",
+            Reason::NextRegion => "next_region",
+            Reason::NoShare => "no_share",
+            Reason::AllSuspect => "all_suspect",
+            Reason::AllLeaving => "all_leaving",
+        }
+    }
+}
+
 /// How fit a VM is to be named, best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Fitness {
