--- a/components/operator/src/api.rs
+++ b/components/operator/src/api.rs
@@ -27,7 +27,7 @@
     async fn current(&self) -> Result<Current, Refusal>;
 
     /// Puts a declaration in force; its drains replace those in force, and the preset in force
-    /// stays if the declaration still has it.
+    /// stays if the declaration still has it, and becomes `ordinary` otherwise.
     async fn apply(&self, act: Apply) -> Result<Accepted, Refusal>;
 
     /// Puts another preset in force.
--- a/components/operator/src/fake.rs
+++ b/components/operator/src/fake.rs
@@ -134,7 +134,10 @@
         let parsed = settings::parse(&act.source).map_err(|found| {
             Refusal::new(Kind::BadSettings, format!("{} findings", found.len()))
         })?;
-        self.act(act.expected, act.operation, |declaration, _| {
+        self.act(act.expected, act.operation, |declaration, preset| {
+            if !parsed.presets.iter().any(|each| each.name == *preset) {
+                *preset = ORDINARY.into();
+            }
             *declaration = parsed;
             Ok(())
         })
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -8,9 +8,10 @@
 use operator::Api;
 use operator::wire::{Accepted, Apply};
 use serde::Serialize;
-use settings::{Change, Declaration, compare};
+use settings::{Change, Declaration, ORDINARY, compare};
 use std::io::{self, BufRead, IsTerminal, Write};
 use std::path::PathBuf;
+use std::sync::Arc;
 
 /// Put a declaration in force, after showing what would change.
 #[derive(FromArgs)]
@@ -44,6 +45,7 @@
 /// What is in force, as far as `apply` needs it.
 struct Base {
     version: u64,
+    preset: Arc<str>,
     declaration: Option<Declaration>,
 }
 
@@ -73,14 +75,27 @@
 async fn read_base(api: &dyn Api) -> Result<Base, Failure> {
     let status = api.status().await?;
     if status.version == 0 {
-        return Ok(Base { version: 0, declaration: None });
+        return Ok(Base { version: 0, preset: ORDINARY.into(), declaration: None });
     }
     let current = api.current().await?;
-    Ok(Base { version: current.version, declaration: Some(current.declaration) })
+    let (version, preset) = (current.version, current.preset);
+    Ok(Base { version, preset, declaration: Some(current.declaration) })
 }
 
 fn changes(base: &Base, declaration: &Declaration) -> Vec<Change> {
-    base.declaration.as_ref().map(|old| compare(old, declaration)).unwrap_or_default()
+    let Some(old) = &base.declaration else {
+        return Vec::new();
+    };
+    let mut changes = compare(old, declaration);
+    if !declaration.presets.iter().any(|preset| preset.name == base.preset) {
+        changes.push(Change {
+            section: "preset in force".into(),
+            key: String::new(),
+            before: Some(base.preset.to_string()),
+            after: Some(ORDINARY.into()),
+        });
+    }
+    changes
 }
 
 fn print_changes(base: &Base, changes: &[Change], output: &Output) {
