--- a/components/peer/src/message.rs
+++ b/components/peer/src/message.rs
@@ -12,7 +12,7 @@
 use settings::Drain;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use steering::{Plan, Vm};
+use steering::{Plan, Upstream, Vm};
 
 /// The longest message or reply, encoded, in bytes.
 pub const MAX_MESSAGE: usize = 4 << 20;
@@ -147,6 +147,15 @@
     pub moving: u32,
 }
 
+/// The machines that a node knows of, for a peer that starts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Roster {
+    /// The entry VMs.
+    pub records: Vec<Record>,
+    /// The upstreams, which a peer that can't reach the platform has from nowhere else.
+    pub upstreams: Vec<Upstream>,
+}
+
 /// What a reply brings.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Body {
@@ -163,7 +172,7 @@
     /// The plan in force.
     Plan(Plan),
     /// The records of all VMs.
-    Roster(Vec<Record>),
+    Roster(Roster),
 }
 
 /// The row of the table that says which configuration is in force.
