--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -1,5 +1,6 @@
 //! Random schedules of faults against the promise that an order runs at most once.
 
+#[allow(dead_code, reason = "each test file uses a part of the world")]
 mod world;
 
 use clock::Millis;
@@ -41,6 +42,7 @@
     Set { entry: usize, mode: Mode },
     Restart { entry: usize },
     Stop { entry: usize },
+    Vm { entry: usize, state: State },
     Platform(platform::fake::Fault),
     Mend,
     Relays { cut: bool },
@@ -60,7 +62,9 @@
             .prop_map(|(entry, mode)| Act::Set { entry, mode }),
         1 => entry.clone().prop_map(|entry| Act::Set { entry, mode: Mode::Killed }),
         1 => entry.clone().prop_map(|entry| Act::Restart { entry }),
-        1 => entry.prop_map(|entry| Act::Stop { entry }),
+        1 => entry.clone().prop_map(|entry| Act::Stop { entry }),
+        1 => (entry, prop_oneof![Just(State::Suspect), Just(State::Live)])
+            .prop_map(|(entry, state)| Act::Vm { entry, state }),
         3 => platform_fault().prop_map(Act::Platform),
         1 => Just(Act::Mend),
         1 => any::<bool>().prop_map(|cut| Act::Relays { cut }),
@@ -130,6 +134,7 @@
         Act::Set { entry, mode } => world.set(ENTRIES[entry], mode),
         Act::Restart { entry } => world.start(ENTRIES[entry], 2 + number as u64),
         Act::Stop { entry } => world.stop(ENTRIES[entry]),
+        Act::Vm { entry, state } => world.set_vm(ENTRIES[entry], state),
         Act::Platform(fault) => world.platform.inject(fault),
         Act::Mend => world.platform.mend(),
         Act::Relays { cut } => world.relays.set_cut(cut),
--- a/components/entry/tests/whole_answers.rs
+++ b/components/entry/tests/whole_answers.rs
@@ -1,5 +1,6 @@
 //! Random faults against the promise that each caller gets the whole answer to its own request.
 
+#[allow(dead_code, reason = "each test file uses a part of the world")]
 mod world;
 
 use clock::Millis;
@@ -118,6 +119,7 @@
             // Nothing but the choice of upstreams depends on this list.
             assert!(world.server(&format!("m{upstream}")).load().is_ok());
             world.set_upstream(&format!("m{upstream}"), state);
+            world.set_vm("e2", state);
         }
     }
 }
