--- a/components/entry/src/measure.rs
+++ b/components/entry/src/measure.rs
@@ -1,4 +1,4 @@
-//! What is measured of this VM's limits and of what it has installed.
+//! What is measured of this VM's limits.
 
 use crate::core::Core;
 use crate::view::View;
@@ -11,12 +11,8 @@
 const SENT_KBIT: &str = "sent_kbit";
 const RECEIVED_KBIT: &str = "received_kbit";
 
-/// Measures what is in force at this VM.
+/// Measures what is in flight and what this VM may send.
 pub(crate) fn in_force(core: &Core, view: &View) {
-    let snapshot = view.snapshot();
-    metrics::gauge!(names::VERSION).set(snapshot.version as f64);
-    metrics::gauge!(names::PLAN_EPOCH).set(snapshot.plan.epoch as f64);
-    metrics::gauge!(names::PLAN_SEQUENCE).set(snapshot.plan.sequence as f64);
     metrics::gauge!(names::IN_FLIGHT).set(core.gate.in_flight() as f64);
     limits(core, view);
 }
