--- a/components/control/src/fake/verdict.rs
+++ b/components/control/src/fake/verdict.rs
@@ -1,7 +1,7 @@
 //! What the stand-ins saw, against what the fleet promises.
 
 use super::{Cluster, Sight, digest};
-use crate::rows::{CURRENT, PLAN};
+use crate::rows::{CURRENT, Lease, PLAN, PLANNER};
 use clock::{Clock, Millis};
 use peer::message::Current;
 use platform::fake::Platform;
@@ -18,6 +18,7 @@
 pub struct Commits {
     versions: Arc<Mutex<BTreeMap<u64, Commit>>>,
     plans: Arc<Mutex<BTreeMap<Stamp, blake3::Hash>>>,
+    reverts: Arc<Mutex<usize>>,
 }
 
 #[derive(Clone)]
@@ -29,9 +30,11 @@
 impl Commits {
     /// Watches the platform's rows from here on.
     pub fn watch(platform: Arc<Platform>, clock: Clock) -> Commits {
-        let commits = Commits { versions: Arc::default(), plans: Arc::default() };
+        let commits =
+            Commits { versions: Arc::default(), plans: Arc::default(), reverts: Arc::default() };
         let versions = Arc::clone(&commits.versions);
         let plans = Arc::clone(&commits.plans);
+        let reverts = Arc::clone(&commits.reverts);
         tokio::spawn(async move {
             let mut seen = Rows::default();
             loop {
@@ -40,7 +43,14 @@
                     lock(&versions).entry(current.version).or_insert(commit);
                 }
                 if let Some(plan) = read::<Plan>(&platform, PLAN, &mut seen.plan) {
-                    lock(&plans).entry(plan.stamp()).or_insert(digest(&plan));
+                    let stamp = plan.stamp();
+                    *lock(&reverts) += usize::from(stamp < seen.stamp);
+                    seen.stamp = stamp;
+                    lock(&plans).entry(stamp).or_insert(digest(&plan));
+                }
+                if let Some(lease) = read::<Lease>(&platform, PLANNER, &mut seen.lease) {
+                    *lock(&reverts) += usize::from(lease.epoch < seen.epoch);
+                    seen.epoch = lease.epoch;
                 }
                 clock.sleep(WATCH).await;
             }
@@ -49,11 +59,14 @@
     }
 }
 
-/// The versions of the rows that were read last.
+/// The versions of the rows that were read last, and what the planner's rows held.
 #[derive(Default)]
 struct Rows {
     current: u64,
     plan: u64,
+    lease: u64,
+    stamp: Stamp,
+    epoch: u64,
 }
 
 /// The row's content, unless its version was `seen` before.
@@ -152,6 +165,7 @@
         Count { what: "versions fell at a VM", found: falls(&sights) },
         Count { what: "snapshots unlike the version committed", found: strangers },
         Count { what: "plans unlike the plan committed", found: plans },
+        Count { what: "times an old planner's write took effect", found: *lock(&commits.reverts) },
     ]
 }
 
