--- a/components/control/src/fake/gate.rs
+++ b/components/control/src/fake/gate.rs
@@ -31,11 +31,20 @@
         answer
     }
 
+    /// A commit that was on its way when the VM was frozen takes its course after the thaw, though
+    /// the VM may have given it up by then.
     async fn commit(&self, transaction: Transaction) -> Result<Commit, Failure> {
-        self.pass().await;
-        let answer = self.client.commit(transaction).await;
-        self.pass().await;
-        answer
+        let context = transaction.id.to_string();
+        let client = Arc::clone(&self.client);
+        let network = Arc::clone(&self.network);
+        let address = self.address;
+        let commit = tokio::spawn(async move {
+            network.thawed(address).await;
+            let answer = client.commit(transaction).await;
+            network.thawed(address).await;
+            answer
+        });
+        commit.await.unwrap_or(Err(Failure::Lost { context }))
     }
 }
 
