--- /dev/null
+++ b/components/control/src/sampling.rs
@@ -0,0 +1,41 @@
+use crate::Roster;
+use peer::message::{Record, Sample};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Records in one part of a roster, on average.
+const PART_RECORDS: usize = 12;
+
+/// The most records of one part that a reply brings.
+const MAX_PART: usize = 32;
+
+impl Roster {
+    /// A sample of one part of the roster, chosen by `draw`.
+    pub fn sample(&self, draw: u16) -> Sample {
+        let parts = self.records.len().div_ceil(PART_RECORDS).min(usize::from(u16::MAX)) as u16;
+        let part = draw % parts.max(1);
+        Sample { part, parts, digest: self.digest(part, parts) }
+    }
+
+    /// The records of the sampled part, unless this roster has the same there.
+    pub fn differing(&self, sample: Sample) -> Vec<Record> {
+        if sample.parts == 0 || self.digest(sample.part, sample.parts) == sample.digest {
+            return Vec::new();
+        }
+        self.part(sample.part, sample.parts).take(MAX_PART).cloned().collect()
+    }
+
+    fn part(&self, part: u16, parts: u16) -> impl Iterator<Item = &Record> {
+        let parts = u64::from(parts.max(1));
+        self.records
+            .values()
+            .filter(move |record| xxh3_64(record.vm.name.as_bytes()) % parts == u64::from(part))
+    }
+
+    fn digest(&self, part: u16, parts: u16) -> u64 {
+        let digest = |record: &Record| {
+            let name = xxh3_64(record.vm.name.as_bytes());
+            xxh3_64_with_seed(&record.beat.to_le_bytes(), name ^ record.vm.state as u64)
+        };
+        self.part(part, parts).fold(0, |sum, record| sum ^ digest(record))
+    }
+}
