--- a/components/steering/src/admission.rs
+++ b/components/steering/src/admission.rs
@@ -3,25 +3,24 @@
 //! It joins the node's [`Shift`] with its windows, so that a request takes room in exactly the
 //! windows of the region it is sent to. See docs/SHIFTS.md and docs/LIMITS.md.
 
-use crate::limit::Window;
+mod gate;
+mod meter;
+
 use crate::planner::{Ack, Demand};
 use crate::share::{Caps, Limits, START_WAIT, limits};
 use crate::shift::{Route, Shift, Tick};
 use crate::{Index, Regions, region_of};
 use clock::Millis;
 use errors::{Error, Kind};
+use gate::Gate;
+use meter::{Meter, Rate};
 use std::sync::Arc;
 
-const SECOND: Millis = Millis::from_secs(1);
-
 /// The part of a region's window that moved requests may fill, so that those served there already
 /// aren't refused because of them.
 const MOVED_PART: u32 = 9;
 const MOVED_WHOLE: u32 = 10;
 
-/// The weight of the last second in the smoothed demand.
-const SMOOTHING: f64 = 0.25;
-
 /// What one node admits into each region.
 #[derive(Debug)]
 pub struct Admission {
@@ -42,25 +41,6 @@
     generation: u64,
 }
 
-/// The windows of one region.
-#[derive(Debug)]
-struct Gate {
-    name: Arc<str>,
-    requests: Window,
-    shift: Window,
-    moved: Growth,
-}
-
-/// How much traffic that a shift moved there the region's caches are warm for.
-///
-/// It grows by at most the node's part of the shift cap from one step to the next, whichever
-/// callers bring the traffic.
-#[derive(Debug)]
-struct Growth {
-    window: Window,
-    peak: u32,
-}
-
 /// A request that was let through.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Admitted {
@@ -81,21 +61,6 @@
     Waiting,
 }
 
-/// The demand of the node's callers, smoothed over some seconds.
-#[derive(Debug, Default)]
-struct Meter {
-    second: Millis,
-    regions: Vec<Rate>,
-    moving: Rate,
-}
-
-/// A count in the current second and its smoothed rate.
-#[derive(Debug, Default)]
-struct Rate {
-    count: u32,
-    smoothed: f64,
-}
-
 impl Admission {
     /// The admission of the VM called `vm` in failure domain `domain`, started at `now`.
     pub fn new(index: &Index, vm: Arc<str>, domain: Arc<str>, now: Millis) -> Admission {
@@ -293,55 +258,6 @@
     }
 }
 
-impl Gate {
-    fn take(old: &mut Vec<Gate>, name: &Arc<str>) -> Gate {
-        match old.iter().position(|gate| gate.name == *name) {
-            Some(at) => old.swap_remove(at),
-            None => {
-                let moved = Growth { window: Window::new(0), peak: 0 };
-                let (requests, shift) = (Window::new(0), Window::new(0));
-                Gate { name: Arc::clone(name), requests, shift, moved }
-            }
-        }
-    }
-}
-
-impl Growth {
-    fn advance(&mut self, share: u32, passed: bool, restarted: bool, now: Millis) {
-        self.peak = if restarted { 0 } else { self.peak.max(self.window.used(now)) };
-        if passed || restarted {
-            self.window.set_cap(self.peak.saturating_add(share));
-        }
-    }
-}
-
-impl Meter {
-    fn count(&mut self, region: u16) {
-        if let Some(rate) = self.regions.get_mut(usize::from(region)) {
-            rate.count += 1;
-        }
-    }
-
-    fn advance(&mut self, now: Millis) {
-        while now - self.second >= SECOND {
-            self.second = self.second + SECOND;
-            self.regions.iter_mut().for_each(Rate::end_second);
-            self.moving.end_second();
-        }
-    }
-}
-
-impl Rate {
-    fn whole(&self) -> u32 {
-        self.smoothed.ceil() as u32
-    }
-
-    fn end_second(&mut self) {
-        self.smoothed += SMOOTHING * (f64::from(self.count) - self.smoothed);
-        self.count = 0;
-    }
-}
-
 fn shift_capped(region: &str) -> Error {
     Error::new(Kind::ShiftCapped, format!("the shift cap into {region} is reached"))
 }
--- a/components/steering/src/shift.rs
+++ b/components/steering/src/shift.rs
@@ -4,9 +4,17 @@
 //! from where it serves the traffic itself. So the cap holds whatever plan a node holds, and a
 //! shift goes on while the planner is away. See docs/SHIFTS.md.
 
+mod aim;
+mod route;
+mod step;
+
+pub use route::Route;
+
 use crate::{Plan, Regions, Split, WHOLE, position};
+use aim::{Aim, Track};
 use clock::Millis;
 use std::sync::Arc;
+use step::{Demand, Step};
 
 /// Bits of a fine position that tell the requests of one position apart.
 const DRAW_BITS: u32 = 32;
@@ -23,8 +31,6 @@
 /// The most changes of target that may be mixed before a shift has to end.
 const MAX_SEGMENTS: usize = 8;
 
-const SECOND: Millis = Millis::from_secs(1);
-
 /// What one node knows of its own traffic's shift.
 ///
 /// Positions below `warm` have moved. Those from `warm` to `settled` have had a step to move, and
@@ -47,35 +53,6 @@
     limits: Vec<u32>,
 }
 
-/// Where a request is sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Route {
-    /// To a region that serves this position already.
-    Stay(u16),
-    /// To `to`, where the position has moved; to `old` if more arrives than `to` is warm for.
-    ///
-    /// Callers that renew at another node bring it traffic that it hasn't moved itself.
-    Moved {
-        /// The region that serves the position.
-        to: u16,
-        /// The region that served it before the shift; `None` if it is lost.
-        old: Option<u16>,
-    },
-    /// To `to` if the shift limiter admits it there; else to `old`, if that can still serve.
-    Move {
-        /// The region that is to serve the position.
-        to: u16,
-        /// The region that serves it until then; `None` if it is lost.
-        old: Option<u16>,
-    },
-    /// To the region that serves it until its turn to move comes.
-    Wait(u16),
-    /// Nowhere yet: the region that served the position is lost and its turn to move hasn't come.
-    Held,
-    /// Nowhere: every region is lost.
-    Lost,
-}
-
 /// What the rest of the node tells a shift at each tick.
 #[derive(Clone, Copy, Debug)]
 pub struct Tick<'a> {
@@ -97,40 +74,6 @@
     pub now: Millis,
 }
 
-/// A split and the regions left out of it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Aim {
-    split: Split,
-    lost: Regions,
-}
-
-/// A run of fine positions and where it is served.
-#[derive(Clone, Debug)]
-struct Track {
-    until: u64,
-    aim: Aim,
-    /// Regions that were lost since, so that their caches are cold though they may be back.
-    cold: Regions,
-}
-
-/// What happened to the slab since the step began.
-#[derive(Clone, Debug)]
-struct Step {
-    start: Millis,
-    second: Millis,
-    attempts: Vec<u32>,
-    peak: f64,
-    deferred: bool,
-}
-
-/// The node's requests, counted by second.
-#[derive(Clone, Debug, Default)]
-struct Demand {
-    second: Millis,
-    current: u32,
-    last: u32,
-}
-
 impl Shift {
     /// The state of a node that has just started and moved nothing itself.
     pub fn new(tick: &Tick<'_>) -> Shift {
@@ -352,70 +295,6 @@
     }
 }
 
-impl Aim {
-    fn region(&self, home: u16, block: u32) -> Option<u16> {
-        self.split.region(home, block, self.lost)
-    }
-}
-
-impl Aim {
-    /// The part of the traffic that is served elsewhere under `other`, if all home regions have as
-    /// much.
-    fn moved_part(&self, other: &Aim) -> f64 {
-        let rows = self.split.rows.iter().zip(&other.split.rows);
-        let parts = rows.map(|(old, new)| {
-            let (old, new) = (self.parts(old), other.parts(new));
-            let gains = old.iter().zip(&new).map(|(old, new)| (new - old).max(0.0));
-            gains.sum::<f64>()
-        });
-        parts.sum::<f64>() / self.split.rows.len().max(1) as f64
-    }
-
-    fn parts(&self, row: &[u32]) -> Vec<f64> {
-        let weight = |(region, weight): (usize, &u32)| {
-            if self.lost.contains(region as u16) { 0.0 } else { f64::from(*weight) }
-        };
-        let weights: Vec<f64> = row.iter().enumerate().map(weight).collect();
-        let sum = weights.iter().sum::<f64>().max(1.0);
-        weights.iter().map(|weight| weight / sum).collect()
-    }
-}
-
-impl Step {
-    fn new(start: Millis, regions: usize) -> Step {
-        let attempts = vec![0; regions];
-        Step { start, second: start, attempts, peak: 0.0, deferred: false }
-    }
-
-    fn count(&mut self, to: u16, limits: &[u32], now: Millis) {
-        if now - self.second >= SECOND {
-            self.second = now;
-            self.attempts.fill(0);
-        }
-        let Some(attempts) = self.attempts.get_mut(usize::from(to)) else {
-            return;
-        };
-        *attempts += 1;
-        let limit = limits.get(usize::from(to)).copied().unwrap_or(0).max(1);
-        self.peak = self.peak.max(f64::from(*attempts) / f64::from(limit));
-    }
-}
-
-impl Demand {
-    fn count(&mut self, now: Millis) {
-        if now - self.second >= SECOND {
-            self.last = self.current;
-            self.current = 0;
-            self.second = now;
-        }
-        self.current += 1;
-    }
-
-    fn peak(&self) -> u32 {
-        self.last.max(self.current)
-    }
-}
-
 fn fine(position: u32) -> u64 {
     u64::from(position) << DRAW_BITS
 }
