--- a/components/bench/src/experiment.rs
+++ b/components/bench/src/experiment.rs
@@ -1,4 +1,5 @@
 use crate::blocking::Blocking;
+use crate::headroom::Headroom;
 use crate::orders::Orders;
 use crate::spread::Spreads;
 use crate::stragglers::Stragglers;
@@ -18,5 +19,11 @@
 
 /// Every experiment, in the order of `bench list`.
 pub fn experiments() -> Vec<Box<dyn Experiment>> {
-    vec![Box::new(Stragglers), Box::new(Blocking), Box::new(Orders), Box::new(Spreads)]
+    vec![
+        Box::new(Stragglers),
+        Box::new(Blocking),
+        Box::new(Headroom),
+        Box::new(Orders),
+        Box::new(Spreads),
+    ]
 }
--- a/components/control/src/handler.rs
+++ b/components/control/src/handler.rs
@@ -3,7 +3,7 @@
 use crate::heartbeat::Peer;
 use async_trait::async_trait;
 use errors::Kind;
-use peer::message::{Ask, Body};
+use peer::message::{Ask, Body, Roster};
 use peer::{Blob, Handler, Message, Reply};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,7 +39,7 @@
                 None => Body::Refused(Kind::NotReady),
             },
             Ask::Plan => Body::Plan(self.state().plan.as_ref().clone()),
-            Ask::Roster => Body::Roster(self.state().roster.records()),
+            Ask::Roster => Body::Roster(self.roster()),
             Ask::Load(load) => {
                 self.state().loads.insert(Arc::clone(from), load);
                 Body::Heard
@@ -47,6 +47,12 @@
         }
     }
 
+    fn roster(&self) -> Roster {
+        let now = self.config.clock.now();
+        let state = self.state();
+        Roster { records: state.roster.records(), upstreams: state.roster.upstreams(now) }
+    }
+
     async fn probe_for_other(&self, address: SocketAddr) -> Body {
         let peer = Peer::unnamed(address);
         match self.ask(&peer, Ask::Heartbeat, HEARTBEAT_TIMEOUT).await {
--- /dev/null
+++ b/tests/processes/world.rs
@@ -0,0 +1,279 @@
+//! The fleet of processes that a session drives, and what callers and operators see of it.
+
+use caller::client::{Call, Client, Outcome};
+use caller::{Method, parse_block};
+use clock::{Clock, Millis};
+use errors::Ran;
+use harness::{Binaries, Fleet, KEY, Signal, Size};
+use operator::wire::UsePreset;
+use operator::{Api, Key};
+use platform::fake::Fault;
+use session::Step;
+use std::error::Error;
+use std::process::Command;
+use std::sync::Arc;
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+const BLOCK: &str = "10.0.0.0/24";
+const DOMAINS: [&str; 3] = ["antwerpen-1", "gent-1", "leuven-1"];
+const SERVICES: [&str; 2] = ["status-desk", "order-desk"];
+const PATIENCE: Millis = Millis::from_secs(30);
+const POLL: Millis = Millis(100);
+
+/// A fleet of three entry VMs, and the lines that the session has written so far.
+pub struct World {
+    /// What callers, operators and upstreams saw.
+    pub transcript: Vec<String>,
+    fleet: Fleet,
+    clock: Clock,
+    prefixes: Vec<Arc<str>>,
+}
+
+impl World {
+    /// Starts the platform, the upstreams and the daemons.
+    pub async fn open() -> Result<World> {
+        let binaries = Binaries {
+            entryd: env!("CARGO_BIN_EXE_entryd").into(),
+            controld: env!("CARGO_BIN_EXE_controld").into(),
+            standin: env!("CARGO_BIN_EXE_standin").into(),
+        };
+        let size = Size {
+            domains: DOMAINS.map(String::from).to_vec(),
+            entries: DOMAINS.len(),
+            services: SERVICES.map(String::from).to_vec(),
+            upstreams: DOMAINS.len(),
+            slots: 4,
+            service_ms: 5,
+        };
+        let mut fleet = Fleet::prepare(binaries, &size).await?;
+        fleet.start().await?;
+        let clock = Clock::system();
+        Ok(World { transcript: Vec::new(), fleet, clock, prefixes: Vec::new() })
+    }
+
+    /// Takes one step of the session and writes what came of it.
+    pub async fn take(&mut self, step: &Step) -> Result<()> {
+        let words: Vec<&str> = step.words.iter().map(String::as_str).collect();
+        let said = match (step.verb.as_str(), words.as_slice()) {
+            ("command", words) => self.command(words)?,
+            ("ready", []) => self.wait_until_ready().await?,
+            ("get", [via, path]) => self.get(via, path).await?,
+            ("prefix", [via]) => self.prefix(via).await?,
+            ("order", [via, name]) => self.order(via, name).await?,
+            ("ran", [name]) => self.ran(name).await?,
+            ("signal", [signal, process, vm]) => self.signal(signal, process, vm)?,
+            ("stop", [process, vm]) => self.stop(process, vm)?,
+            ("start", [process, vm]) => self.start(process, vm)?,
+            ("platform", [state]) => self.platform(state).await?,
+            ("race", [first, second]) => self.race(first, second).await?,
+            ("preset", [vm, name]) => self.wait_for_preset(vm, name).await?,
+            (verb, words) => return Err(format!("unknown step: {verb} {words:?}").into()),
+        };
+        let line = format!("{} {}: {said}", step.verb, words.join(" "));
+        self.transcript.push(line);
+        Ok(())
+    }
+
+    /// Runs `heatherbend` against the first entry VM and tells its exit code.
+    fn command(&self, words: &[&str]) -> Result<String> {
+        let key = self.fleet.directory().join("key");
+        std::fs::write(&key, KEY)?;
+        let operator = self.fleet.nodes[0].listen.operator.to_string();
+        let output = Command::new(env!("CARGO_BIN_EXE_heatherbend"))
+            .args(words)
+            .args(["--node", &operator, "--key-file"])
+            .arg(key)
+            .output()?;
+        Ok(format!("exit code {}", output.status.code().unwrap_or(-1)))
+    }
+
+    async fn wait_until_ready(&self) -> Result<String> {
+        for node in 0..self.fleet.nodes.len() {
+            let vm = format!("e{}", node + 1);
+            self.wait(&format!("{vm} serves"), async || {
+                self.get(&vm, "/ready").await.is_ok_and(|said| said.starts_with("answered"))
+            })
+            .await?;
+        }
+        Ok("every entry VM serves".into())
+    }
+
+    async fn get(&self, via: &str, path: &str) -> Result<String> {
+        let call = Call {
+            service: "status-desk".into(),
+            method: Method::GET,
+            path: path.into(),
+            body: Default::default(),
+            order: None,
+        };
+        self.call(via, &call).await
+    }
+
+    /// Keeps the order prefix that callers get, as `p1`, `p2` and so on.
+    async fn prefix(&mut self, via: &str) -> Result<String> {
+        let address = self.fleet.nodes[self.number(via)?].listen.caller;
+        let block = parse_block(BLOCK).ok_or("the block is malformed")?;
+        let mut client = Client::new(self.clock, block, vec![address])?;
+        let answer = client.look_up(&"order-desk".into()).await?;
+        self.prefixes.push(answer.order_prefix);
+        let home = answer.entries.first().map_or("nobody", |entry| &entry.vm);
+        Ok(format!("p{}, home {home}", self.prefixes.len()))
+    }
+
+    /// Sends the order `name` through `via`; `p1/x` is the name `x` under the first prefix kept.
+    async fn order(&self, via: &str, name: &str) -> Result<String> {
+        let call = Call {
+            service: "order-desk".into(),
+            method: Method::POST,
+            path: "/orders".into(),
+            body: "one impeller".into(),
+            order: Some(self.order_id(name)?),
+        };
+        self.call(via, &call).await
+    }
+
+    async fn call(&self, via: &str, call: &Call) -> Result<String> {
+        let address = self.fleet.nodes[self.number(via)?].listen.caller;
+        let block = parse_block(BLOCK).ok_or("the block is malformed")?;
+        let client = Client::new(self.clock, block, Vec::new())?;
+        Ok(match client.attempt(call, address).await {
+            Outcome::Answered { status, body } => {
+                let whole = body == upstream::fake::entity(&call.path, 0);
+                format!("answered {status} {}", if whole { "whole" } else { "NOT WHOLE" })
+            }
+            Outcome::Refused { ran, detail } => format!("{} {}", describe(ran), kind(&detail)),
+        })
+    }
+
+    /// How often upstreams ran the order `name`, by their own lists.
+    async fn ran(&self, name: &str) -> Result<String> {
+        let id = self.order_id(name)?;
+        let lines = self.fleet.ran().await?;
+        let times = lines.iter().filter(|line| line.ends_with(&format!(" {id}"))).count();
+        Ok(format!("{times} times"))
+    }
+
+    fn signal(&mut self, signal: &str, process: &str, vm: &str) -> Result<String> {
+        let number = self.number(vm)?;
+        let node = &mut self.fleet.nodes[number];
+        let slot = match process {
+            "controld" => &mut node.controld,
+            "entryd" => &mut node.entryd,
+            other => return Err(format!("no process {other}").into()),
+        };
+        let running = slot.as_ref().ok_or("the process doesn't run")?;
+        match signal {
+            "kill" => {
+                if let Some(process) = slot.take() {
+                    process.kill();
+                }
+            }
+            "freeze" => running.signal(Signal::Stop)?,
+            "wake" => running.signal(Signal::Cont)?,
+            other => return Err(format!("no signal {other}").into()),
+        }
+        Ok("done".into())
+    }
+
+    /// Stops a daemon gracefully.
+    fn stop(&mut self, process: &str, vm: &str) -> Result<String> {
+        let number = self.number(vm)?;
+        let node = &mut self.fleet.nodes[number];
+        let slot = if process == "controld" { &mut node.controld } else { &mut node.entryd };
+        let running = slot.take().ok_or("the process doesn't run")?;
+        let status = running.close(PATIENCE)?;
+        Ok(format!("exit code {}", status.code().unwrap_or(-1)))
+    }
+
+    fn start(&mut self, process: &str, vm: &str) -> Result<String> {
+        let number = self.number(vm)?;
+        let binaries = self.fleet.binaries.clone();
+        match process {
+            "controld" => self.fleet.nodes[number].start_controld(&binaries)?,
+            "entryd" => self.fleet.nodes[number].start_entryd(&binaries)?,
+            other => return Err(format!("no process {other}").into()),
+        }
+        Ok("done".into())
+    }
+
+    async fn platform(&self, state: &str) -> Result<String> {
+        match state {
+            "down" => self.fleet.inject(&Fault::Down).await?,
+            "loses-answer" => self.fleet.inject(&Fault::LoseAnswers(1)).await?,
+            "up" => self.fleet.mend().await?,
+            other => return Err(format!("no state {other}").into()),
+        }
+        Ok("done".into())
+    }
+
+    /// Two operators put presets in force at two VMs on the same version at the same moment.
+    async fn race(&self, first: &str, second: &str) -> Result<String> {
+        let one = self.operator(0)?;
+        let other = self.operator(1)?;
+        let expected = one.current().await?.version;
+        let act = |preset: &str| UsePreset {
+            expected,
+            operation: format!("use-{preset}").into(),
+            preset: preset.into(),
+        };
+        let (won, lost) = tokio::join!(one.use_preset(act(first)), other.use_preset(act(second)));
+        let accepted = [&won, &lost].iter().filter(|result| result.is_ok()).count();
+        let refused = won.err().or(lost.err()).ok_or("both acts were accepted")?;
+        Ok(format!("{accepted} accepted, the other refused as {:?}", refused.kind))
+    }
+
+    async fn wait_for_preset(&self, vm: &str, name: &str) -> Result<String> {
+        let api = self.operator(self.number(vm)?)?;
+        self.wait(&format!("{vm} follows {name}"), async || {
+            api.status().await.is_ok_and(|status| &*status.preset == name)
+        })
+        .await?;
+        Ok("in force".into())
+    }
+
+    fn operator(&self, number: usize) -> Result<operator::Client> {
+        let address = self.fleet.nodes[number].listen.operator;
+        Ok(operator::Client::new(address, Key::new(KEY.into()))?)
+    }
+
+    fn order_id(&self, name: &str) -> Result<Arc<str>> {
+        let Some((prefix, rest)) = name.split_once('/') else { return Ok(name.into()) };
+        let number: usize = prefix.trim_start_matches('p').parse()?;
+        let prefix = self.prefixes.get(number - 1).ok_or("no such prefix")?;
+        Ok(format!("{prefix}~{rest}").into())
+    }
+
+    fn number(&self, vm: &str) -> Result<usize> {
+        let found = self.fleet.nodes.iter().position(|node| node.name == vm);
+        found.ok_or_else(|| format!("no VM {vm}").into())
+    }
+
+    async fn wait<Probe>(&self, what: &str, probe: Probe) -> Result<()>
+    where
+        Probe: AsyncFn() -> bool,
+    {
+        let limit = self.clock.now() + PATIENCE;
+        while self.clock.now() < limit {
+            if probe().await {
+                return Ok(());
+            }
+            self.clock.sleep(POLL).await;
+        }
+        Err(format!("waited {PATIENCE} in vain: {what}").into())
+    }
+}
+
+fn describe(ran: Ran) -> &'static str {
+    match ran {
+        Ran::NotRun => "refused, not run:",
+        Ran::Unknown => "refused, outcome unknown:",
+        Ran::Ran => "refused, ran before:",
+    }
+}
+
+/// The kind that a refusal's body names.
+fn kind(detail: &str) -> String {
+    let body: serde_json::Value = serde_json::from_str(detail).unwrap_or_default();
+    body["kind"].as_str().unwrap_or("no answer").into()
+}
