--- a/components/bench/src/headroom.rs
+++ b/components/bench/src/headroom.rs
@@ -13,6 +13,8 @@
 /// What the callers of each region ask for, against the region's cap.
 const LOAD: f64 = 1.0;
 const SKEW: f64 = 3.0;
+/// Requests a second of each VM, for the plan that is made before the measurement.
+const EVEN_DEMAND: u32 = 1000;
 const EPOCH: Millis = Millis(1_000_000);
 const ADMITTED_LEAST: f64 = 0.9;
 
@@ -22,7 +24,7 @@
 /// How the parts of the cap are worked out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Sharing {
-    /// As the planner gives them before any demand is known.
+    /// As the planner gives them for even demand, whatever the demand becomes.
     Fixed,
     /// As the planner gives them each second from the demand of the last one.
     Planned,
@@ -154,11 +156,11 @@
 }
 
 fn first_plan(snapshot: &Snapshot) -> Plan {
-    let silent = vec![0; snapshot.vms.len()];
+    let even = vec![EVEN_DEMAND; snapshot.vms.len()];
     let mut plan = Plan::default();
     for step in 0..WARM_UP {
         let now = EPOCH + Millis(step * SECOND_MS);
-        plan = next_plan(snapshot, &plan, &silent, now, Millis::ZERO).unwrap_or(plan);
+        plan = next_plan(snapshot, &plan, &even, now, Millis::ZERO).unwrap_or(plan);
     }
     plan
 }
