--- a/components/control/src/bootstrap.rs
+++ b/components/control/src/bootstrap.rs
@@ -31,11 +31,12 @@
         for address in self.config.node.peers.clone() {
             let peer = Peer::unnamed(address);
             let answer = self.ask(&peer, Ask::Roster, HEARTBEAT_TIMEOUT).await;
-            let Ok(Body::Roster(records)) = answer else { continue };
+            let Ok(Body::Roster(roster)) = answer else { continue };
             let mut state = self.state();
-            for record in records {
+            for record in roster.records {
                 state.roster.adopt(record);
             }
+            state.roster.adopt_upstreams(roster.upstreams);
             reached.push(peer);
         }
         reached
--- a/components/control/src/roster.rs
+++ b/components/control/src/roster.rs
@@ -203,6 +203,16 @@
         changed
     }
 
+    /// Takes a peer's upstreams, unless the platform's list was read here or another peer told of
+    /// some already.
+    pub fn adopt_upstreams(&mut self, upstreams: Vec<Upstream>) {
+        if self.has_listing() || !self.upstreams.is_empty() {
+            return;
+        }
+        let named = upstreams.into_iter().map(|upstream| (Arc::clone(&upstream.name), upstream));
+        self.upstreams = named.collect();
+    }
+
     /// Whether the platform's list was ever read.
     pub fn has_listing(&self) -> bool {
         !self.listed.is_empty()
