--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -5,10 +5,12 @@
 mod blocking;
 mod experiment;
 mod fake;
+mod fleet;
 mod orders;
 mod queue;
 mod scene;
 mod serving;
+mod spread;
 mod stragglers;
 mod table;
 
--- a/components/entry/src/poll.rs
+++ b/components/entry/src/poll.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Weak};
 use tokio::task::JoinHandle;
 
-/// What goes on in a VM whether requests come or not: load reports and the steps of shifts.
+/// What goes on in a VM whether requests come or not: load reports, drains and steps of shifts.
 pub(crate) struct Poller {
     tasks: [JoinHandle<()>; 2],
 }
@@ -41,6 +41,10 @@
 
 async fn poll(core: Weak<Core>) {
     while let Some(core) = core.upgrade() {
+        if let Ok(view) = core.view() {
+            let now = core.clock.now();
+            core.services().follow_drains(&view, now);
+        }
         let addresses = core.services().addresses();
         let asking = addresses.into_iter().map(|(name, address)| ask(&core, name, address));
         join_all(asking).await;
--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -23,7 +23,8 @@
     pub(crate) fn open(core: &Core, job: &Job) -> Result<Course, Error> {
         let now = core.clock.now();
         job.time_to_send(now)?;
-        let admitted = core.limits().admit(job.home, job.request.block, job.draw(), now)?;
+        let admitted =
+            core.limits().admit(&job.view, job.home, job.request.block, job.draw(), now)?;
         let moved = admitted.reason == Reason::Moved;
         Ok(Course { region: admitted.region, tried: Vec::new(), moved, admitted: true })
     }
--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -6,7 +6,7 @@
 use entry::fake::Mode;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use settings::Class;
+use settings::{Class, Drain, Target};
 use std::sync::Arc;
 use steering::State;
 use upstream::fake::Fault;
@@ -49,6 +49,7 @@
     Upstream(Fault),
     Down { upstream: u16, down: bool },
     Listed { upstream: u16, state: State },
+    Drain { span: u64 },
 }
 
 fn act() -> impl Strategy<Value = Act> {
@@ -72,6 +73,7 @@
         1 => (1..=UPSTREAMS, any::<bool>()).prop_map(|(upstream, down)| Act::Down { upstream, down }),
         1 => (1..=UPSTREAMS, prop_oneof![Just(State::Leaving), Just(State::Live)])
             .prop_map(|(upstream, state)| Act::Listed { upstream, state }),
+        1 => (1..3_000u64).prop_map(|span| Act::Drain { span }),
     ]
 }
 
@@ -140,6 +142,12 @@
         Act::LoseOutcomes => world.relays.lose_outcomes(1),
         Act::Upstream(fault) => world.fleet.inject(fault),
         Act::Down { upstream, down } => world.server(&format!("o{upstream}")).set_down(down),
+        Act::Drain { span } => {
+            let start = world.clock.now();
+            let target = Target::Domain("nord-0".into());
+            let end = start + Millis(span);
+            world.plan_drain(Drain { name: "drain".into(), target, start, end });
+        }
         Act::Listed { upstream, state } => world.set_upstream(&format!("o{upstream}"), state),
     }
 }
--- a/components/entry/tests/drive/mod.rs
+++ b/components/entry/tests/drive/mod.rs
@@ -9,7 +9,7 @@
 use clock::Millis;
 use entry::fake::Mode;
 use session::{Script, Step};
-use settings::Class;
+use settings::{Class, Drain, Target};
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::sync::Arc;
@@ -49,6 +49,12 @@
             warm(&mut world, step).await?;
             continue;
         }
+        if step.verb == "drain" {
+            let drain = drain(step)?;
+            let drained = world.plan_drain(drain.clone());
+            departures.note_drain(&drained, &drain);
+            continue;
+        }
         departures.note(&world, step);
         take(&mut world, &mut prefixes, step)?;
     }
@@ -211,6 +217,17 @@
     Ok(())
 }
 
+fn drain(step: &Step) -> Result<Drain, Box<dyn Error>> {
+    let target = match (step.option("vm"), step.option("domain")) {
+        (Some(name), None) => Target::Vm(name.into()),
+        (None, Some(name)) => Target::Domain(name.into()),
+        _ => return Err("a drain has vm or domain".into()),
+    };
+    let (start, end) = (Millis(number(step, "start")?), Millis(number(step, "end")?));
+    let (start, end) = (START + start, START + end);
+    Ok(Drain { name: word(step)?.into(), target, start, end })
+}
+
 // `o*` stands for every upstream of the service.
 fn servers(world: &World, name: &str) -> Vec<Arc<upstream::fake::Server>> {
     match name.strip_suffix('*') {
--- a/components/entry/tests/world/mod.rs
+++ b/components/entry/tests/world/mod.rs
@@ -12,7 +12,7 @@
 use entry::fake::{Mode, Process, Relays};
 use entry::{Config, Entry};
 use platform::fake::Platform;
-use settings::Class;
+use settings::{Class, Target};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -139,6 +139,25 @@
         self.install();
     }
 
+    /// The upstreams that a drain of `target` empties.
+    fn upstreams_of(&self, target: &Target) -> Vec<String> {
+        let drained = |upstream: &&steering::Upstream| match target {
+            Target::Vm(name) => *name == upstream.name,
+            Target::Domain(name) => *name == upstream.domain,
+            Target::Region(_) => false,
+        };
+        let upstreams = self.snapshot.upstreams.iter().filter(drained);
+        upstreams.map(|upstream| upstream.name.to_string()).collect()
+    }
+
+    /// Plans a drain and returns the upstreams that it empties.
+    pub fn plan_drain(&mut self, drain: settings::Drain) -> Vec<String> {
+        let drained = self.upstreams_of(&drain.target);
+        self.snapshot.drains.push(drain);
+        self.install();
+        drained
+    }
+
     /// The address of an upstream.
     pub fn address(&self, name: &str) -> SocketAddr {
         let mut upstreams = self.snapshot.upstreams.iter();
