--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -6,6 +6,7 @@
 mod experiment;
 mod fake;
 mod fleet;
+mod headroom;
 mod orders;
 mod queue;
 mod scene;
--- a/components/entry/src/limits.rs
+++ b/components/entry/src/limits.rs
@@ -1,4 +1,3 @@
-use crate::measure;
 use crate::view::View;
 use clock::Millis;
 use errors::{Error, Kind};
@@ -55,15 +54,12 @@
     /// Admits a request of `block` of region `home` into the region that serves it.
     pub(crate) fn admit(
         &mut self,
-        view: &View,
         home: u16,
         block: u32,
         draw: u32,
         now: Millis,
     ) -> Result<Admitted, Error> {
-        let admitted = self.admission()?.admit(home, block, draw, now)?;
-        measure::admitted(view, admitted.region);
-        Ok(admitted)
+        self.admission()?.admit(home, block, draw, now)
     }
 
     /// Admits a further attempt into `region`, under the cap of shifts too if it was moved there.
--- a/components/entry/src/poll.rs
+++ b/components/entry/src/poll.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Weak};
 use tokio::task::JoinHandle;
 
-/// What goes on in a VM whether requests come or not: load reports, drains and steps of shifts.
+/// What goes on in a VM whether requests come or not: load reports, planned drains and the steps
+/// of shifts.
 pub(crate) struct Poller {
     tasks: [JoinHandle<()>; 2],
 }
