--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -20,6 +20,8 @@
     pub answer_bytes: usize,
     /// How often upstreams are asked for their load.
     pub poll: Millis,
+    /// How often the steps of shifts are taken, whether requests come or not.
+    pub tick: Millis,
 }
 
 impl Config {
@@ -34,6 +36,7 @@
             orders: 100_000,
             answer_bytes: 16 << 10,
             poll: Millis::from_secs(1),
+            tick: Millis(100),
         }
     }
 }
--- a/components/entry/src/limits.rs
+++ b/components/entry/src/limits.rs
@@ -7,9 +7,6 @@
 use steering::planner::{Ack, Demand};
 use steering::share::{self, Caps};
 
-/// Steps of shifts and drains are taken this often, whether requests come or not.
-pub(crate) const TICK: Millis = Millis(100);
-
 /// What this VM lets through into regions and over links.
 pub(crate) struct Limits {
     vm: Arc<str>,
--- a/components/entry/src/poll.rs
+++ b/components/entry/src/poll.rs
@@ -1,5 +1,4 @@
 use crate::core::Core;
-use crate::limits::TICK;
 use futures_util::future::join_all;
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
@@ -31,12 +30,12 @@
 
 async fn tick(core: Weak<Core>) {
     while let Some(core) = core.upgrade() {
-        let clock = core.clock;
+        let (clock, period) = (core.clock, core.config.tick);
         if let Ok(view) = core.view() {
             core.limits().tick(&view, clock.now());
         }
         drop(core);
-        clock.sleep(TICK).await;
+        clock.sleep(period).await;
     }
 }
 
--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -20,9 +20,10 @@
 /// Blocks whose look-ups name `e1` and `e2` first.
 const BLOCK_OF_E1: u32 = 0;
 const BLOCK_OF_E2: u32 = 8;
-/// Load reports play no part here.
+/// Load reports and shifts play no part here.
 const SETUP: Setup = Setup {
     poll: Millis::from_secs(3600),
+    tick: Millis::from_secs(3600),
     services: &[("orders", Class::Short)],
     upstreams: UPSTREAMS,
 };
--- a/components/entry/tests/drive/mod.rs
+++ b/components/entry/tests/drive/mod.rs
@@ -19,6 +19,7 @@
 
 const SETUP: Setup = Setup {
     poll: Millis::from_secs(1),
+    tick: Millis(100),
     services: &[("manuals", Class::Long), ("orders", Class::Short), ("status", Class::Short)],
     upstreams: 12,
 };
--- a/components/entry/tests/whole_answers.rs
+++ b/components/entry/tests/whole_answers.rs
@@ -19,6 +19,7 @@
 const SETTLE: Millis = Millis::from_secs(10);
 const SETUP: Setup = Setup {
     poll: Millis::from_secs(3600),
+    tick: Millis::from_secs(3600),
     services: &[("manuals", Class::Long), ("orders", Class::Short)],
     upstreams: UPSTREAMS,
 };
