--- a/components/entry/tests/at_most_once.rs
+++ b/components/entry/tests/at_most_once.rs
@@ -7,7 +7,7 @@
 use entry::fake::Mode;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use settings::Class;
+use settings::{Class, Drain, Target};
 use std::sync::Arc;
 use steering::State;
 use upstream::fake::Fault;
@@ -20,9 +20,10 @@
 /// Blocks whose look-ups name `e1` and `e2` first.
 const BLOCK_OF_E1: u32 = 0;
 const BLOCK_OF_E2: u32 = 8;
-/// Load reports play no part here.
+/// Load reports and shifts play no part here.
 const SETUP: Setup = Setup {
     poll: Millis::from_secs(3600),
+    tick: Millis::from_secs(3600),
     services: &[("orders", Class::Short)],
     upstreams: UPSTREAMS,
 };
@@ -50,6 +51,7 @@
     Upstream(Fault),
     Down { upstream: u16, down: bool },
     Listed { upstream: u16, state: State },
+    Drain { span: u64 },
 }
 
 fn act() -> impl Strategy<Value = Act> {
@@ -73,6 +75,7 @@
         1 => (1..=UPSTREAMS, any::<bool>()).prop_map(|(upstream, down)| Act::Down { upstream, down }),
         1 => (1..=UPSTREAMS, prop_oneof![Just(State::Leaving), Just(State::Live)])
             .prop_map(|(upstream, state)| Act::Listed { upstream, state }),
+        1 => (1..3_000u64).prop_map(|span| Act::Drain { span }),
     ]
 }
 
@@ -141,6 +144,12 @@
         Act::LoseOutcomes => world.relays.lose_outcomes(1),
         Act::Upstream(fault) => world.fleet.inject(fault),
         Act::Down { upstream, down } => world.server(&format!("o{upstream}")).set_down(down),
+        Act::Drain { span } => {
+            let start = world.clock.now();
+            let target = Target::Domain("nord-0".into());
+            let end = start + Millis(span);
+            world.plan_drain(Drain { name: "drain".into(), target, start, end });
+        }
         Act::Listed { upstream, state } => world.set_upstream(&format!("o{upstream}"), state),
     }
 }
--- a/components/entry/tests/whole_answers.rs
+++ b/components/entry/tests/whole_answers.rs
@@ -7,7 +7,7 @@
 use entry::fake::Mode;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use settings::Class;
+use settings::{Class, Drain, Target};
 use steering::State;
 use upstream::fake::Fault;
 use world::{Ask, Setup, World};
@@ -19,6 +19,7 @@
 const SETTLE: Millis = Millis::from_secs(10);
 const SETUP: Setup = Setup {
     poll: Millis::from_secs(3600),
+    tick: Millis::from_secs(3600),
     services: &[("manuals", Class::Long), ("orders", Class::Short)],
     upstreams: UPSTREAMS,
 };
@@ -33,6 +34,7 @@
     Restart,
     Fault(Fault),
     Listed { upstream: u16, state: State },
+    Drain { span: u64 },
 }
 
 #[derive(Clone, Debug)]
@@ -68,6 +70,7 @@
         6 => fault().prop_map(Act::Fault),
         1 => (1..=UPSTREAMS, prop_oneof![Just(State::Leaving), Just(State::Live)])
             .prop_map(|(upstream, state)| Act::Listed { upstream, state }),
+        1 => (1..3_000u64).prop_map(|span| Act::Drain { span }),
     ]
 }
 
@@ -115,6 +118,12 @@
             world.start(ENTRY, 2 + number as u64);
         }
         Act::Fault(fault) => world.fleet.inject(fault),
+        Act::Drain { span } => {
+            let start = world.clock.now();
+            let target = Target::Domain("nord-0".into());
+            let end = start + Millis(span);
+            world.plan_drain(Drain { name: "drain".into(), target, start, end });
+        }
         Act::Listed { upstream, state } => {
             // Nothing but the choice of upstreams depends on this list.
             assert!(world.server(&format!("m{upstream}")).load().is_ok());
--- a/components/steering/src/hedge.rs
+++ b/components/steering/src/hedge.rs
@@ -18,7 +18,9 @@
 /// The delay is worked out again after this many answers.
 const REFRESH: u32 = 16;
 /// Extra requests that may be saved up, so that a burst after a quiet time stays bounded.
-const TOKENS_MAX: f64 = 10.0;
+pub const RESERVE: u32 = 10;
+
+const TOKENS_MAX: f64 = RESERVE as f64;
 
 /// The delay after which an unanswered request of one service is hedged.
 #[derive(Clone, Debug, Default)]
@@ -67,7 +69,8 @@
 /// The budget that hedges and retries of one service share.
 ///
 /// Each first attempt earns the preset's ratio; each extra attempt costs one. Over any span the
-/// extra attempts are at most the ratio of the first ones plus a small constant.
+/// extra attempts are at most the ratio of the first ones plus [`RESERVE`], and a ratio of zero
+/// allows none.
 #[derive(Clone, Debug)]
 pub struct Budget {
     ratio: f64,
@@ -94,7 +97,7 @@
 
     /// Takes one extra attempt; false if the budget is used up.
     pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
+        if self.ratio == 0.0 || self.tokens < 1.0 {
             return false;
         }
         self.tokens -= 1.0;
