Measure control and an entry VM with the real daemons

Cause: docs/CAPACITY.md needs slopes with real memory and processor time. Ruled out: bytes from /proc/PID/io, which doesn't count what is received from sockets; the loopback interface's counter includes headers and the platform's part.

--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -9,6 +9,7 @@
 mod headroom;
 mod orders;
 mod queue;
+pub mod real;
 mod scene;
 mod serving;
 mod spread;
--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -4,8 +4,13 @@
 //! our policy beside every baseline. See docs/CHOICE.md and docs/MEASURES.md.
 
 use argh::FromArgs;
+use bench::real::{measure_control, measure_load};
 use bench::{Experiment, Scene, Table, experiments};
+use clock::Millis;
+use errors::{Error, Kind};
+use std::path::PathBuf;
 use std::process::ExitCode;
+use tokio::runtime::Runtime;
 
 /// Measures heatherbend's decisions in virtual time.
 #[derive(FromArgs)]
@@ -19,6 +24,41 @@
 enum Command {
     List(List),
     Run(Run),
+    Control(Control),
+    Load(Load),
+}
+
+/// Measures what control costs each node of fleets of real control processes on loopback.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "control")]
+struct Control {
+    /// sizes of the fleets, such as 9,50,100
+    #[argh(option, default = "\"9,50,100\".into()")]
+    vms: String,
+    /// seconds to measure each fleet
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// directory of the declaration
+    #[argh(option, default = "\"examples/maalwerk\".into()")]
+    declaration: PathBuf,
+    /// with 110 sites and 140,030 blocks that each stand alone
+    #[argh(switch)]
+    design: bool,
+}
+
+/// Measures what one real entry VM carries on loopback.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+struct Load {
+    /// look-ups, then requests a second, to one of three entry VMs
+    #[argh(option, default = "200")]
+    rate: u64,
+    /// seconds of each
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// directory of the declaration
+    #[argh(option, default = "\"examples/maalwerk\".into()")]
+    declaration: PathBuf,
 }
 
 /// Lists the experiments.
@@ -54,7 +94,76 @@
     match arguments.command {
         Command::List(_) => list(),
         Command::Run(run) => measure(&run),
+        Command::Control(options) => finish(block_on(control(&options))),
+        Command::Load(options) => finish(block_on(load(&options))),
+    }
+}
+
+fn block_on<Work>(work: Work) -> Result<(), Error>
+where
+    Work: Future<Output = Result<(), Error>>,
+{
+    let runtime = Runtime::new();
+    runtime.map_err(|cause| Error::new(Kind::Internal, cause.to_string()))?.block_on(work)
+}
+
+fn finish(result: Result<(), Error>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error.to_string()),
+    }
+}
+
+async fn control(options: &Control) -> Result<(), Error> {
+    println!(
+        "{:>6}{:>14}{:>12}{:>12}{:>12}{:>14}",
+        "VMs", "% of a core", "median MiB", "max MiB", "bytes/s", "preset all ms"
+    );
+    let span = Millis::from_secs(options.seconds);
+    for vms in options.vms.split(',').filter_map(|text| text.trim().parse().ok()) {
+        let cost = measure_control(&options.declaration, vms, options.design, span).await?;
+        println!(
+            "{:>6}{:>14.3}{:>12.1}{:>12.1}{:>12.0}{:>14}",
+            cost.vms,
+            cost.processor_percent,
+            cost.resident_mib,
+            cost.resident_max_mib,
+            cost.bytes_per_second,
+            cost.spread_ms
+        );
+    }
+    Ok(())
+}
+
+async fn load(options: &Load) -> Result<(), Error> {
+    println!(
+        "{:<10}{:>10}{:>12}{:>9}{:>8}{:>8}{:>9}{:>12}{:>8}",
+        "kind",
+        "offered",
+        "answered/s",
+        "refused",
+        "p50 ms",
+        "p99 ms",
+        "p99.9",
+        "us/request",
+        "MiB"
+    );
+    let span = Millis::from_secs(options.seconds);
+    for rate in measure_load(&options.declaration, options.rate, span).await? {
+        println!(
+            "{:<10}{:>10}{:>12.1}{:>9}{:>8}{:>8}{:>9}{:>12.1}{:>8.1}",
+            rate.kind,
+            rate.offered,
+            rate.answered,
+            rate.refused,
+            rate.p50_ms,
+            rate.p99_ms,
+            rate.p999_ms,
+            rate.processor_us,
+            rate.resident_mib
+        );
     }
+    Ok(())
 }
 
 fn list() -> ExitCode {
--- a/components/caller/src/client.rs
+++ b/components/caller/src/client.rs
@@ -139,7 +139,12 @@
         Err(last)
     }
 
-    async fn ask_at(
+    /// Asks the entry VM at `address`, whatever answer is held.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::NotReady`] with what the entry VM said.
+    pub async fn ask_at(
         &self,
         address: SocketAddr,
         service: &str,
--- a/components/harness/src/fleet.rs
+++ b/components/harness/src/fleet.rs
@@ -101,6 +101,22 @@
         Ok(())
     }
 
+    /// Starts `controld` alone on every node and lists the nodes at the platform.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] when a process doesn't come up.
+    pub async fn start_control(&mut self) -> Result<(), Error> {
+        for number in 0..self.nodes.len() {
+            let peers = self.peers_of(number);
+            self.nodes[number].set_peers(peers);
+            self.nodes[number].start_controld(&self.binaries)?;
+            let machine = entry_machine(&self.nodes[number]);
+            self.post("machines", &machine).await?;
+        }
+        Ok(())
+    }
+
     /// Starts both daemons of one node and lists it at the platform.
     ///
     /// # Errors
