--- a/components/daemon/src/listener.rs
+++ b/components/daemon/src/listener.rs
@@ -1,12 +1,17 @@
 use clock::Millis;
 use errors::{Error, Kind};
+use salvo::conn::Acceptor;
 use salvo::conn::tcp::TcpAcceptor;
-use salvo::conn::{Acceptor, Listener as _, TcpListener};
 use salvo::prelude::{Router, Server};
 use salvo::server::ServerHandle;
+use std::io;
 use std::net::SocketAddr;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::JoinHandle;
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
 /// A bound address that doesn't serve yet, so that its port can be told to others first.
 pub struct Socket {
     address: SocketAddr,
@@ -23,8 +28,9 @@
         let refused = |cause: String| {
             Error::new(Kind::BadSettings, format!("can't listen on {address}: {cause}"))
         };
-        let bound = TcpListener::new(address).try_bind().await;
-        let acceptor = bound.map_err(|cause| refused(cause.to_string()))?;
+        let listener = listen(address).map_err(|cause| refused(cause.to_string()))?;
+        let acceptor =
+            TcpAcceptor::try_from(listener).map_err(|cause| refused(cause.to_string()))?;
         let address = local_address(&acceptor).ok_or_else(|| refused("no local address".into()))?;
         Ok(Socket { address, acceptor })
     }
@@ -73,6 +79,19 @@
     }
 }
 
+/// Listens at `address`; connections inherit that they send small answers at once, since a head
+/// and a body in two segments would otherwise wait for the caller's delayed acknowledgement.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 fn local_address(acceptor: &TcpAcceptor) -> Option<SocketAddr> {
     let holding = acceptor.holdings().first()?;
     holding.local_addr.clone().into_std()
