Reserve each port once in a process

Ruled out: a clash with outgoing connections, which leave from 127.0.0.1. Ports given out are now remembered for the life of the process.

--- a/components/harness/src/node.rs
+++ b/components/harness/src/node.rs
@@ -1,15 +1,20 @@
 use crate::error::SystemSnafu;
 use crate::{Binaries, Error, Process};
 use snafu::ResultExt;
+use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
 use std::{fs, process};
 
 /// The operators' key of every fleet.
 pub const KEY: &str = "harness-operator-key-0123456789abcdef";
 const PEER_KEY: &str = "harness-peer-key-0123456789abcdef0123";
 
+/// Ports that nodes of this process have, whether their daemons run or not.
+static RESERVED: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+
 /// One entry VM: its settings and its two daemons.
 #[derive(Debug)]
 pub struct Node {
@@ -124,18 +129,25 @@
     fn reserve() -> Result<Listen, Error> {
         let [_, _, high, low] = process::id().to_be_bytes();
         let address = SocketAddr::from(([127, 64 | (high & 63), low, 1], 0));
-        let bind = || TcpListener::bind(address);
-        let sockets = [bind(), bind(), bind(), bind(), bind()];
-        let mut ports = Vec::new();
-        let mut held = Vec::new();
-        for socket in sockets {
-            let socket = socket.context(SystemSnafu { action: "reserve a port" })?;
-            ports.push(socket.local_addr().context(SystemSnafu { action: "read a port" })?);
-            held.push(socket);
+        Ok(Listen {
+            caller: reserve(address)?,
+            relay: reserve(address)?,
+            peer: reserve(address)?,
+            operator: reserve(address)?,
+            local: reserve(address)?,
+        })
+    }
+}
+
+/// A free port of `address` that no other node of this process has.
+fn reserve(address: SocketAddr) -> Result<SocketAddr, Error> {
+    let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        let socket =
+            TcpListener::bind(address).context(SystemSnafu { action: "reserve a port" })?;
+        let free = socket.local_addr().context(SystemSnafu { action: "read a port" })?;
+        if reserved.insert(free) {
+            return Ok(free);
         }
-        let [caller, relay, peer, operator, local] = ports[..] else {
-            unreachable!("five sockets have five ports");
-        };
-        Ok(Listen { caller, relay, peer, operator, local })
     }
 }
