--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -59,7 +59,9 @@
             Ok(pick) => self.enter(core, job, &pick, now)?,
             Err(Unavailable::LongSlots) => return Err(Blocked::Waiting),
             Err(Unavailable::Connections) => return Err(full().into()),
-            Err(Unavailable::Empty | Unavailable::Exhausted) => self.divert(core, job, now)?,
+            Err(Unavailable::Empty | Unavailable::Exhausted | Unavailable::Unowned) => {
+                self.divert(core, job, now)?
+            }
         };
         self.tried.push(Arc::clone(&chosen.upstream));
         self.admitted = false;
@@ -81,26 +83,35 @@
         start(core, job, self.region, pick, now)
     }
 
-    // No upstream of the region can serve it: the nearest region that has one takes it, under the
-    // cap of shifts, since the caches there are cold.
-    fn divert(&mut self, core: &Core, job: &Job, now: Millis) -> Result<Chosen, Error> {
+    // No upstream of the region can serve it, or this VM holds none of its slots for long requests:
+    // the nearest region that has one takes it, under the cap of shifts, since the caches there are
+    // cold.
+    fn divert(&mut self, core: &Core, job: &Job, now: Millis) -> Result<Chosen, Blocked> {
         let mut refused = None;
+        let mut is_busy = false;
         for region in job.view.index.nearest(self.region).iter().copied().skip(1) {
-            let Ok(pick) = self.pick(core, job, region, now) else {
-                continue;
+            let pick = match self.pick(core, job, region, now) {
+                Ok(pick) => pick,
+                Err(reason) => {
+                    is_busy |= reason == Unavailable::LongSlots;
+                    continue;
+                }
             };
             let diverted = core.limits().divert(region, now);
             match diverted {
                 Ok(_) => {
                     self.region = region;
                     self.moved = true;
-                    return start(core, job, region, &pick, now);
+                    return Ok(start(core, job, region, &pick, now)?);
                 }
                 Err(error) => refused = refused.or(Some(error)),
             }
         }
         let none = || Error::new(Kind::NoUpstream, "no upstream of the service takes new work");
-        Err(refused.unwrap_or_else(none))
+        match refused {
+            None if is_busy => Err(Blocked::Waiting),
+            refused => Err(refused.unwrap_or_else(none).into()),
+        }
     }
 }
 
--- a/components/steering/src/choice.rs
+++ b/components/steering/src/choice.rs
@@ -83,6 +83,8 @@
     Empty,
     /// Every upstream that takes new work has been tried.
     Exhausted,
+    /// This VM holds no slots for long requests here, so none becomes free by waiting.
+    Unowned,
     /// Every upstream is at the limit of connections from this VM.
     Connections,
     /// Long requests hold all the slots that they may; one may be free after a wait.
@@ -94,7 +96,9 @@
     pub fn kind(self) -> Kind {
         match self {
             Unavailable::Empty | Unavailable::Exhausted => Kind::NoUpstream,
-            Unavailable::Connections | Unavailable::LongSlots => Kind::Overloaded,
+            Unavailable::Unowned | Unavailable::Connections | Unavailable::LongSlots => {
+                Kind::Overloaded
+            }
         }
     }
 }
--- a/components/steering/src/choice/pool.rs
+++ b/components/steering/src/choice/pool.rs
@@ -179,6 +179,9 @@
     if member.in_flight() >= member.connections {
         return Some(Unavailable::Connections);
     }
+    if task.class == Class::Long && member.long_slots == 0 {
+        return Some(Unavailable::Unowned);
+    }
     if task.class == Class::Long && member.long_in_flight >= member.long_slots {
         return Some(Unavailable::LongSlots);
     }
