--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use listener::{Listener, Socket};
 pub use signal::stop_requested;
-pub use start::{announce, exit, load_node, open_log};
+pub use start::{announce, connect, exit, load_node, open_log};
--- a/components/daemon/src/start.rs
+++ b/components/daemon/src/start.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::Arc;
 use telemetry::{Log, Options};
 
 /// Reads a node's own file.
@@ -29,6 +30,16 @@
     telemetry::install(options, clock).map_err(failed)
 }
 
+/// The platform that the node's file names.
+///
+/// # Errors
+///
+/// [`Kind::Internal`] when the HTTP client can't be set up.
+pub fn connect(node: &Node) -> Result<Arc<platform::http::Client>, Error> {
+    let client = platform::http::Client::new(node.platform.clone());
+    client.map(Arc::new).map_err(|cause| Error::new(Kind::Internal, cause.to_string()))
+}
+
 /// Prints where a daemon listens, as one line of JSON before any log line.
 pub fn announce<T>(listen: &T)
 where
--- a/src/bin/controld.rs
+++ b/src/bin/controld.rs
@@ -4,7 +4,7 @@
 use clock::Clock;
 use control::Platform;
 use daemon::controld::Daemon;
-use errors::{Error, Kind};
+use errors::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -27,9 +27,7 @@
     let node = daemon::load_node(&options.node)?;
     let logging = telemetry::Options::new(&node.log_level, node.log_rate);
     let clock = Clock::system();
-    let client = platform::http::Client::new(node.platform.clone())
-        .map_err(|cause| Error::new(Kind::Internal, cause.to_string()))?;
-    let client = Arc::new(client);
+    let client = daemon::connect(&node)?;
     let platform = Platform {
         table: Arc::clone(&client) as _,
         store: Arc::clone(&client) as _,
