Share objects out to regions by their slots from the first request

Ruled out: too few slots in all; warm work fills about a third of them.

Every VM knows all upstreams' slots before the first request, so steering::apportion gives each object one region by them, the same on all VMs.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -3,9 +3,10 @@
 use crate::Node;
 use crate::server::Server;
 use clock::Millis;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
+use steering::apportion::{Region, Shares};
 use steering::catalogue::Catalogue;
 use steering::routing::Table;
 
@@ -20,8 +21,13 @@
 #[derive(Debug)]
 pub struct Fleet {
     regions: HashMap<Arc<str>, Arc<str>>,
+    region: Arc<str>,
+    /// The part of a region's requests that may move between two windows.
+    shift_max: f64,
     servers: HashMap<Arc<str>, Rc<Server>>,
     services: HashMap<Arc<str>, Vec<Rc<Server>>>,
+    /// Where the VM's requests for each service run.
+    shares: HashMap<Arc<str>, Shares>,
     /// Round trips to each region, in ms.
     round_trips: HashMap<Arc<str>, f64>,
     /// How long an answer takes on each route, without waiting, in ms.
@@ -33,8 +39,11 @@
     pub fn new(node: &Node) -> Fleet {
         Fleet {
             regions: node.regions.clone(),
+            region: Arc::clone(&node.region),
+            shift_max: node.bounds.shift_max,
             servers: HashMap::new(),
             services: HashMap::new(),
+            shares: HashMap::new(),
             round_trips: HashMap::new(),
             usual: HashMap::new(),
         }
@@ -62,6 +71,46 @@
             self.servers.insert(Arc::clone(&entry.id), Rc::clone(&server));
             self.services.entry(Arc::clone(&entry.service)).or_default().push(server);
         }
+        self.apportion(now);
+    }
+
+    /// Takes callers to be as many in every failure domain, which needs no talk between VMs.
+    fn apportion(&mut self, now: Millis) {
+        let mut demand: BTreeMap<&Arc<str>, f64> = BTreeMap::new();
+        for region in self.regions.values() {
+            *demand.entry(region).or_default() += 1.0;
+        }
+        for (service, servers) in &self.services {
+            let slots = |name: &Arc<str>| {
+                let near = servers.iter().filter(|server| server.region == *name);
+                near.map(|server| f64::from(server.entry.slots)).sum()
+            };
+            let regions: Vec<Region> = demand
+                .iter()
+                .map(|(name, demand)| Region {
+                    name: Arc::clone(name),
+                    slots: slots(name),
+                    demand: *demand,
+                })
+                .collect();
+            let shares = self.shares.entry(Arc::clone(service));
+            let new = || Shares::new(Arc::clone(&self.region), self.shift_max);
+            shares.or_insert_with(new).aim(&regions, now);
+        }
+    }
+
+    /// The region where requests for `object` run among the `allowed` ones, if it is known.
+    pub fn region<Allowed>(
+        &self,
+        service: &str,
+        object: u64,
+        allowed: Allowed,
+        now: Millis,
+    ) -> Option<Arc<str>>
+    where
+        Allowed: Fn(&str) -> bool,
+    {
+        self.shares.get(service)?.region(object, allowed, now)
     }
 
     /// The upstreams of a service.
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -51,6 +51,16 @@
         .iter()
         .filter(|server| is_eligible(core, demand, server, now))
         .collect();
+    let by_object = demand.route.affinity && !demand.object.is_empty();
+    let policy = if by_object { BY_OBJECT } else { BY_LOAD };
+    let object = if by_object { xxh3_64(demand.object) } else { rand::random() };
+    let is_shunned =
+        |server: &Server| server.is_shunned(now) || (server.is_suspect() && server.in_flight() > 0);
+    let takes = |region: &str| {
+        servers.iter().any(|server| *server.region == *region && !is_shunned(server))
+    };
+    let region = fleet.region(&demand.service.name, object, takes, now);
+    let region = region.unwrap_or_else(|| Arc::clone(&node.region));
     let candidates: Vec<Candidate<'_>> = servers
         .iter()
         .map(|server| Candidate {
@@ -59,13 +69,10 @@
             load: server.load(now),
             slowness: server.slowness(now),
             distance: fleet.distance(&node.region, &server.region),
-            near: server.region == node.region,
-            shunned: server.is_shunned(now) || (server.is_suspect() && server.in_flight() > 0),
+            planned: server.region == region,
+            shunned: is_shunned(server),
         })
         .collect();
-    let by_object = demand.route.affinity && !demand.object.is_empty();
-    let policy = if by_object { BY_OBJECT } else { BY_LOAD };
-    let object = if by_object { xxh3_64(demand.object) } else { rand::random() };
     let ask = Ask { candidates: &candidates, object, usual, left: demand.left, policy: &policy };
     let choice = match demand.tried.is_empty() {
         true => ask.steered(&mut core.crossing.borrow_mut(), now)?,
@@ -94,29 +101,29 @@
         affinity::choose(self.candidates, self.object, self.usual, self.left, self.policy)
     }
 
-    /// The best upstream, with the share of requests that cross to other regions kept steady.
+    /// The best upstream, with the share of requests that leave their planned region kept steady.
     fn steered(&self, crossing: &mut Crossing, now: Millis) -> Result<Choice, Full> {
         let best = self.any();
-        let is_near = |each: &Candidate<'_>| each.near;
-        if !self.candidates.iter().any(|each| each.near && !each.shunned)
-            || self.candidates.iter().all(is_near)
+        let is_planned = |each: &Candidate<'_>| each.planned;
+        if !self.candidates.iter().any(|each| each.planned && !each.shunned)
+            || self.candidates.iter().all(is_planned)
         {
             return best;
         }
-        let wants = best.is_ok_and(|choice| !self.candidates[choice.index].near);
+        let wants = best.is_ok_and(|choice| !self.candidates[choice.index].planned);
         let choice = match (crossing.decide(wants, now), wants) {
             (true, false) => self.within(false).or(best),
             (false, true) => self.within(true),
             _ => best,
         }?;
-        crossing.sent(!self.candidates[choice.index].near);
+        crossing.sent(!self.candidates[choice.index].planned);
         Ok(choice)
     }
 
-    /// The best upstream in the VM's region, or outside it.
-    fn within(&self, near: bool) -> Result<Choice, Full> {
+    /// The best upstream in the planned region, or outside it.
+    fn within(&self, planned: bool) -> Result<Choice, Full> {
         let indices: Vec<usize> = (0..self.candidates.len())
-            .filter(|index| self.candidates[*index].near == near)
+            .filter(|index| self.candidates[*index].planned == planned)
             .collect();
         let candidates: Vec<Candidate<'_>> =
             indices.iter().map(|index| self.candidates[*index]).collect();
--- a/components/gateway/tests/upstreams.rs
+++ b/components/gateway/tests/upstreams.rs
@@ -225,3 +225,26 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_region_short_of_slots_sends_its_part_away_from_the_first_request() {
+    play(async |world| {
+        let near = world.upstream_in("near", "d1").await;
+        for number in 0..3 {
+            world.upstream_in(&format!("far{number}"), "d2").await;
+        }
+        world.declare(1);
+        let vm = world.gateway("a").await;
+        vm.await_ready().await;
+        let mut caller = vm.connect().await;
+        for object in 0..60 {
+            let request = get(&format!("/read/{object}"), &format!("r{object}"));
+            let request = request.replace("test-object: 7", &format!("test-object: {object}"));
+            assert_eq!(caller.ask(&request).await.unwrap().status, 200);
+        }
+        // A quarter of the slots and half of the callers: half of the requests may stay.
+        let stayed = near.seen().len();
+        assert!((20..=40).contains(&stayed), "{stayed} of 60 stayed");
+    })
+    .await;
+}
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -68,8 +68,14 @@
 
     /// Starts an upstream and registers it.
     pub async fn upstream(&self, id: &str) -> Rc<Standin> {
+        self.upstream_in(id, "d1").await
+    }
+
+    /// Starts an upstream in a failure domain and registers it.
+    pub async fn upstream_in(&self, id: &str, domain: &str) -> Rc<Standin> {
         let standin = Standin::open(id, SocketAddr::new(self.host(), 80 + 8_000)).await;
-        self.store.put_upstream(entry(id, standin.address, Readiness::Ready));
+        let entry = entry(id, standin.address, Readiness::Ready);
+        self.store.put_upstream(Upstream { domain: domain.into(), ..entry });
         standin
     }
 
--- a/components/steering/src/affinity.rs
+++ b/components/steering/src/affinity.rs
@@ -21,8 +21,8 @@
     pub slowness: f64,
     /// The extra time that an answer from its region takes.
     pub distance: Millis,
-    /// Whether it is in the VM's own region.
-    pub near: bool,
+    /// Whether it is in the region that the object is apportioned to.
+    pub planned: bool,
     /// Whether it should get nothing that others can take.
     pub shunned: bool,
 }
@@ -30,7 +30,7 @@
 /// How requests are placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
-    /// Homes of an object in the VM's own region.
+    /// Homes of an object in its region.
     pub homes: usize,
     /// Homes of an object in other regions.
     pub far_homes: usize,
@@ -119,9 +119,9 @@
     spilled.ok_or_else(|| full(candidates, usual))
 }
 
-/// The order of an object's upstreams in the VM's region or outside it, shunned ones last.
-fn ranked(candidates: &[Candidate<'_>], object: u64, near: bool) -> Vec<usize> {
-    let indices = (0..candidates.len()).filter(|index| candidates[*index].near == near);
+/// The order of an object's upstreams in its region or outside it, shunned ones last.
+fn ranked(candidates: &[Candidate<'_>], object: u64, planned: bool) -> Vec<usize> {
+    let indices = (0..candidates.len()).filter(|index| candidates[*index].planned == planned);
     let mut ranked: Vec<(bool, u64, usize)> = indices
         .map(|index| {
             let candidate = &candidates[index];
--- a/components/steering/src/crossing.rs
+++ b/components/steering/src/crossing.rs
@@ -1,4 +1,5 @@
-//! How much of a VM's traffic runs in other regions, and how fast that may change.
+//! How much of a VM's traffic runs outside the regions that it is apportioned to, and how fast
+//! that may change.
 //!
 //! Overflow to other regions would otherwise come and go with every burst, and each move finds
 //! cold upstreams and loads the links between regions. The share follows what placement wants at a
@@ -6,9 +7,9 @@
 
 use clock::Millis;
 
-/// The part of the allowed rate of change that is used; windows of different VMs and the wait of
-/// requests in upstreams' queues blur the rest.
-const RATE_USED: f64 = 0.6;
+/// The part of the allowed rate of change that is used; `apportion` uses some, and windows of
+/// different VMs and the wait of requests in upstreams' queues blur the rest.
+const RATE_USED: f64 = 0.5;
 /// The window to which the deployment's bound on shifts refers.
 const WINDOW: Millis = Millis(2_000);
 /// The time over which wishes are averaged; shorter than a window, so that the share keeps up.
--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod affinity;
 mod allot;
+pub mod apportion;
 pub mod catalogue;
 pub mod choice;
 pub mod class;
--- a/components/steering/tests/affinity.rs
+++ b/components/steering/tests/affinity.rs
@@ -11,7 +11,7 @@
 
 fn candidate(id: &str, near: bool) -> Candidate<'_> {
     let distance = if near { Millis::ZERO } else { FAR };
-    Candidate { id, slots: 3, load: 0.0, slowness: 1.0, distance, near, shunned: false }
+    Candidate { id, slots: 3, load: 0.0, slowness: 1.0, distance, planned: near, shunned: false }
 }
 
 fn place(candidates: &[Candidate<'_>], object: u64) -> Result<Choice, Full> {
@@ -58,7 +58,9 @@
             let mut candidates: Vec<Candidate<'_>> =
                 near.iter().map(|id| candidate(id, true)).collect();
             candidates.extend(far.iter().map(|id| candidate(id, false)));
-            candidates.iter_mut().for_each(|each| each.load = if each.near { load } else { 0.0 });
+            candidates
+                .iter_mut()
+                .for_each(|each| each.load = if each.planned { load } else { 0.0 });
             let chosen = place(&candidates, object).unwrap();
             seen.entry(candidates[chosen.index].id).or_default().insert(object);
         }
