Take an entry that vanishes for one that lapsed only after a long outage of the store

All connections to the store were reset at 15.3 s; an upstream that never says that it leaves was removed at 15.54 s; each reader was connected again at 16.0 to 16.6 s, took the removal for a lapse in an outage, and used the upstream for the drain bound less 0.7 s from then, plus up to 0.5 s until the next round of heartbeats dropped it. Ruled out: late readers (all were back 1.3 s after the reset) and slow spread (neighbours that were not in doubt dropped it at 16.1 to 17.5 s).

Entries are removed after three silent renewals, so an outage shorter than one and a half can't make any lapse: steering::outage. Lapsed upstreams are dropped at their time, not at the next heartbeat.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -21,6 +21,8 @@
 const MEMORY: Millis = Millis::from_secs(15);
 /// Time that a leaving upstream's bound keeps for the spread of the news and requests on their way.
 const LAPSE_MARGIN: Millis = Millis(700);
+/// How often a process looks for lapsed upstreams; none lapses for less than the drain bound.
+const EXPIRY_STEP: Millis = Millis(500);
 
 /// How far a process is on its way to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,6 +79,16 @@
     pub connections: Cell<usize>,
 }
 
+/// Drops lapsed upstreams at the moment at which they count as gone, while the process lives.
+pub async fn expire(core: Rc<Core>) {
+    loop {
+        let step = core.clock.now() + EXPIRY_STEP;
+        let next = core.catalogue.borrow().next_expiry();
+        core.clock.sleep_until(next.map_or(step, |next| next.min(step))).await;
+        core.expire();
+    }
+}
+
 impl Core {
     /// The state of a process that starts now.
     pub fn new(node: Node, dialect: Box<dyn Dialect>, clock: Clock) -> Core {
@@ -166,7 +178,7 @@
     }
 
     /// Drops upstreams whose entries lapsed and stayed away.
-    pub fn expire(&self) {
+    fn expire(&self) {
         let events = self.catalogue.borrow_mut().expire(self.clock.now());
         crate::trace::events(&events, "expiry");
         if !events.is_empty() {
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -64,7 +64,6 @@
 /// Sends one round of heartbeats.
 pub async fn round(core: &Core, socket: &UdpSocket) {
     let now = core.clock.now();
-    core.expire();
     report_dead(core, now);
     let mut alive: Vec<Member> = core.members.borrow().alive(now).cloned().collect();
     metrics::gauge!(telemetry::names::VMS, telemetry::names::STATE => "alive")
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -46,6 +46,8 @@
 /// The figures of the promises, as the deployment sets them.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
+    /// Time between two renewals of an upstream's entry.
+    pub renewal: Millis,
     /// Time in which a leaving upstream gets its last request.
     pub drain: Millis,
     /// Time between the signal to stop and the end of the process.
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -1,7 +1,7 @@
 //! Starts and stops the tasks of a process.
 
 use crate::changes::Asking;
-use crate::core::{Core, Phase};
+use crate::core::{self, Core, Phase};
 use crate::{Dialect, Node, Source, changes, follow, heartbeat, inbound, lookup, small};
 use clock::{Clock, Millis};
 use errors::{Error, Kind};
@@ -72,6 +72,7 @@
         for feed in Feed::ALL {
             spawn(follow::follow(Rc::clone(&core), sources(), feed));
         }
+        spawn(core::expire(Rc::clone(&core)));
         spawn(heartbeat::send(Rc::clone(&core), Rc::clone(&heartbeats)));
         let (asking, shared) = (Rc::new(Asking::default()), Rc::clone(&core));
         let notify = move |ahead| asking.ask(&shared, ahead);
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -203,3 +203,47 @@
     })
     .await;
 }
+
+/// All connections to the store broke for 0.7 s; an upstream that left meanwhile was taken for one
+/// whose entry had lapsed in an outage, and still got requests after the drain bound.
+#[tokio::test]
+async fn an_upstream_that_left_while_a_connection_was_broken_is_gone_at_once() {
+    play(async |world| {
+        let (_upstream, vm) = world.serving().await;
+        let mut caller = vm.connect().await;
+        world.store.refuse("a");
+        let before = world.store.waits().len();
+        until(async || world.store.waits().len() >= before + 4).await;
+        world.store.remove(Feed::Upstreams, "u1");
+        world.store.serve_again("a");
+        until(async || world.store.waits().last() == Some(&Millis(2_000))).await;
+        assert_eq!(caller.ask(&get("/read/1", "r")).await.unwrap().status, 503);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_entry_that_vanished_in_an_outage_is_used_until_the_drain_bound_and_no_longer() {
+    play(async |world| {
+        let upstream = world.upstream("u1").await;
+        world.declare(1);
+        let vm = world.gateway_with("a", |node| node.bounds.renewal = Millis(200)).await;
+        vm.await_ready().await;
+        let mut caller = vm.connect().await;
+        world.store.refuse("a");
+        let before = world.store.waits().len();
+        until(async || world.store.waits().len() >= before + 6).await;
+        world.store.remove(Feed::Upstreams, "u1");
+        world.store.serve_again("a");
+        until(async || world.store.waits().last() == Some(&Millis(2_000))).await;
+        let vanished = std::time::Instant::now();
+        while caller.ask(&get("/read/1", "r")).await.unwrap().status == 200 {
+            tokio::time::sleep(Millis(5).duration()).await;
+        }
+        let used = vanished.elapsed().as_millis();
+        // The drain bound of 2 s less 0.7 s for the spread of the news.
+        assert!((900..1_400).contains(&used), "{used}");
+        assert!(!upstream.seen().is_empty());
+    })
+    .await;
+}
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -231,6 +231,7 @@
         },
         seeds: Vec::new(),
         bounds: Bounds {
+            renewal: Millis(1_500),
             drain: Millis(2_000),
             grace: Millis(6_000),
             settle: Millis(3_000),
--- a/components/steering/src/catalogue/belief.rs
+++ b/components/steering/src/catalogue/belief.rs
@@ -66,6 +66,11 @@
         events
     }
 
+    /// When the next upstream that stays away counts as gone.
+    pub fn next_expiry(&self) -> Option<Millis> {
+        self.lapsed.values().map(|(_, until)| *until).min()
+    }
+
     /// Whether all rows of both feeds are known.
     pub fn is_complete(&self) -> bool {
         self.operators.listed && self.upstreams.listed && self.configuration.is_some()
--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod limit;
 mod lookup;
 pub mod membership;
+pub mod outage;
 mod plan;
 pub mod planner;
 pub mod readers;
