Tell an outage of the store from a broken connection by what neighbours heard

To a VM that was cut off, a cut and an outage look the same; the others had the store all the while. Ruled out: a wider margin, which drops live upstreams sooner after real outages.

Heartbeats tell since when the store has answered the sender without a pause that lets entries lapse; steering::contact unites these spans, and only a pause that nobody was spared puts vanishing entries in doubt.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -4,9 +4,11 @@
 use crate::{Dialect, Node};
 use clock::{Clock, Millis};
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::rc::Rc;
 use std::sync::Arc;
 use steering::catalogue::{Batch, Catalogue, Feed};
+use steering::contact::Contact;
 use steering::crossing::Crossing;
 use steering::membership::{Member, Members};
 use steering::readers;
@@ -21,6 +23,8 @@
 const MEMORY: Millis = Millis::from_secs(15);
 /// Time that a leaving upstream's bound keeps for the spread of the news and requests on their way.
 const LAPSE_MARGIN: Millis = Millis(700);
+/// Time after an outage of the store within which entries that lapsed come back.
+const COMES_BACK: Millis = Millis(2_500);
 /// How often a process looks for lapsed upstreams; none lapses for less than the drain bound.
 const EXPIRY_STEP: Millis = Millis(500);
 
@@ -63,6 +67,8 @@
     pub splitter: RefCell<Splitter>,
     /// When the store last answered, by feed.
     pub store_answered: Cell<[Option<Millis>; 2]>,
+    /// Since when the store has answered this VM or its neighbours without an outage.
+    pub contact: Cell<Option<Contact>>,
     /// When the store last confirmed what this VM knows of each feed, directly or by neighbours.
     pub confirmed: Cell<[Option<Millis>; 2]>,
     /// Wakes the sender of heartbeats when there is news.
@@ -121,6 +127,7 @@
             repeats: RefCell::new(Budget::new(terms, now)),
             splitter: RefCell::default(),
             store_answered: Cell::default(),
+            contact: Cell::default(),
             confirmed: Cell::default(),
             news: Notify::new(),
             stopping: watch::channel(Phase::Serving).0,
@@ -192,6 +199,24 @@
         answered[feed as usize] = Some(self.clock.now());
         self.store_answered.set(answered);
         self.confirm(feed, self.clock.now());
+        self.heard(Contact::at(self.clock.now()));
+    }
+
+    /// Notes when the store answered this VM or a neighbour. What vanishes soon after an outage may
+    /// have lapsed in it.
+    pub fn heard(&self, contact: Contact) {
+        let Some(known) = self.contact.get() else {
+            self.contact.set(Some(contact));
+            return;
+        };
+        let merged = known.merge(contact, self.node().bounds.renewal);
+        self.contact.set(Some(merged));
+        let until = merged.start + COMES_BACK;
+        match merged.start.cmp(&known.start) {
+            Ordering::Greater => self.catalogue.borrow_mut().doubt(until),
+            Ordering::Less => self.catalogue.borrow_mut().settle(until),
+            Ordering::Equal => {}
+        }
     }
 
     /// Notes that what this VM knows of `feed` was all there was at `when`.
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use steering::catalogue::Feed;
+use steering::contact::Contact;
 use steering::membership::Member;
 use tokio::net::UdpSocket;
 
@@ -36,6 +37,8 @@
     revisions: [u64; 2],
     /// How long ago the store confirmed that, in ms.
     ages: [Option<u64>; 2],
+    /// How long ago the present contact with the store began and last held, in ms.
+    contact: Option<(u64, u64)>,
 }
 
 /// What a neighbour knows that this VM doesn't.
@@ -124,6 +127,9 @@
             log::info!(target: "belief", vm = vm.as_ref(); "entry VM alive");
         }
     }
+    if let Some((start, end)) = heartbeat.contact {
+        core.heard(Contact { start: now - Millis(start), end: now - Millis(end) });
+    }
     for (feed, revision) in Feed::ALL.into_iter().zip(heartbeat.revisions) {
         let catalogue = core.catalogue.borrow();
         if let Some(age) = heartbeat.ages[feed as usize]
@@ -151,7 +157,9 @@
         false => 0,
     });
     let ages = Feed::ALL.map(|feed| core.confirmed_age(feed).map(|age| age.0));
-    rmp_serde::to_vec(&Heartbeat { members, revisions, ages }).unwrap_or_else(|error| {
+    let now = core.clock.now();
+    let contact = core.contact.get().map(|known| ((now - known.start).0, (now - known.end).0));
+    rmp_serde::to_vec(&Heartbeat { members, revisions, ages, contact }).unwrap_or_else(|error| {
         log::error!(target: "heartbeat", cause:% = error; "heartbeat can't be encoded");
         Vec::new()
     })
--- a/components/steering/src/catalogue/belief.rs
+++ b/components/steering/src/catalogue/belief.rs
@@ -47,10 +47,14 @@
         events
     }
 
-    /// Notes that the store could not be reached, which puts vanishing entries in doubt until
-    /// `until`.
+    /// Puts entries that vanish before `until` in doubt, since the store was away.
     pub fn doubt(&mut self, until: Millis) {
-        self.doubt_until = self.doubt_until.max(until);
+        self.doubt_until = until;
+    }
+
+    /// Ends the doubt at `until`, since the store was not away as long as it seemed.
+    pub fn settle(&mut self, until: Millis) {
+        self.doubt_until = self.doubt_until.min(until);
     }
 
     /// Drops upstreams that stayed away after an outage.
