Apportion by the upstreams of the moment until there is traffic

Upstreams register one after the other in the 8 s before traffic; the shares that suited the first few held at once and were then left at 2 in 100 a second.

Shares hold at once while no request was placed for a window; with traffic they move at the bounded rate as before. The test of that start failed before.

--- a/components/steering/src/apportion.rs
+++ b/components/steering/src/apportion.rs
@@ -6,6 +6,7 @@
 //! upstreams are known before the first request. See docs/PLACEMENT.md, "Between regions".
 
 use clock::Millis;
+use std::cell::Cell;
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -38,6 +39,8 @@
     /// What decides among regions that all have no share.
     slots: Vec<(Arc<str>, f64)>,
     changed: Millis,
+    /// When a request was last placed.
+    used: Cell<Option<Millis>>,
 }
 
 impl Shares {
@@ -46,17 +49,19 @@
     pub fn new(own: Arc<str>, most: f64) -> Shares {
         let rate = most * RATE_USED / WINDOW.0 as f64;
         let (from, target, slots) = Default::default();
-        Shares { own, rate, from, target, slots, changed: Millis::ZERO }
+        Shares { own, rate, from, target, slots, changed: Millis::ZERO, used: Cell::default() }
     }
 
-    /// Aims at the shares that suit `regions`. The first ones hold at once, later ones are
-    /// approached at the bounded rate.
+    /// Aims at the shares that suit `regions`. They are approached at the bounded rate, but hold at
+    /// once while there is no traffic that could move: upstreams register one after the other
+    /// before it starts.
     pub fn aim(&mut self, regions: &[Region], now: Millis) {
         let target = target(&self.own, regions);
         if target == self.target {
             return;
         }
-        self.from = if self.target.is_empty() { target.clone() } else { self.at(now) };
+        let is_idle = self.used.get().is_none_or(|used| used + WINDOW <= now);
+        self.from = if is_idle { target.clone() } else { self.at(now) };
         self.target = target;
         self.slots =
             regions.iter().map(|region| (Arc::clone(&region.name), region.slots)).collect();
@@ -84,6 +89,7 @@
     where
         Allowed: Fn(&str) -> bool,
     {
+        self.used.set(Some(now));
         let allowed = |weight: &(Arc<str>, f64)| weight.1 > 0.0 && allowed(&weight.0);
         let mut weights = self.at(now);
         weights.retain(allowed);
--- a/components/steering/tests/apportion.rs
+++ b/components/steering/tests/apportion.rs
@@ -95,6 +95,18 @@
     assert_eq!(shares("b", [0.0; 3], [1.0; 3]).region(1, |_| true, Millis::ZERO), None);
 }
 
+/// The pattern of a start: upstreams register one after the other, those of one region first, and
+/// traffic begins seconds later. The shares of the first moment were left at 2 in 100 a second.
+#[test]
+fn before_there_is_traffic_the_shares_of_the_moment_hold_at_once() {
+    let mut shares = shares("a", [0.0, 2.0, 0.0], [1.0; 3]);
+    shares.aim(&regions([6.0, 2.0, 4.0], [1.0; 3]), Millis(500));
+    assert_eq!(share(&shares, "a", Millis(600)), 1.0);
+    region(&shares, 1, Millis(8_000));
+    shares.aim(&regions([0.0, 2.0, 4.0], [1.0; 3]), Millis(8_500));
+    assert!(share(&shares, "a", Millis(8_600)) > 0.9, "with traffic they move slowly");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(1),
