Name the large VMs of a region in look-ups while they can carry it

Processors are not short: 0.0072 cores a VM on average.

Heartbeats tell each VM's processor, link and whether its timers come late; steering::naming names the large VMs while three of them in two failure domains with 40 % of the processors are there and none is pressed.

The small sites have VMs of one size, where nothing changes.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -114,6 +114,9 @@
             incarnation: now.0,
             beat: 0,
             ready: false,
+            millicores: node.millicores,
+            link_mbps: node.link_mbps,
+            pressed: false,
         };
         Core {
             dialect,
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -13,6 +13,7 @@
 use steering::catalogue::Feed;
 use steering::contact::Contact;
 use steering::membership::Member;
+use steering::pressure::Pressure;
 use tokio::net::UdpSocket;
 
 /// The time between two rounds of heartbeats.
@@ -54,9 +55,13 @@
 
 /// Sends heartbeats for as long as the process lives.
 pub async fn send(core: Rc<Core>, socket: Rc<UdpSocket>) {
+    let mut pressure = Pressure::default();
     loop {
         round(&core, &socket).await;
+        let started = core.clock.now();
         core.clock.sleep(GAP).await;
+        let now = core.clock.now();
+        core.member.borrow_mut().pressed = pressure.note(now - started - GAP, now);
         tokio::select! {
             () = core.clock.sleep(PERIOD - GAP) => {}
             () = core.news.notified() => {}
--- a/components/gateway/src/lookup.rs
+++ b/components/gateway/src/lookup.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use steering::membership::Member;
+use steering::naming;
 
 /// How long an answer counts. Callers stay with a VM that left for at most this long; a shorter
 /// time would double the look-ups.
@@ -43,7 +44,7 @@
     Reply { status: 200, headers, body: Body::Whole(body) }
 }
 
-/// The ready VMs of the caller's region, or all if it has none.
+/// Ready VMs of the caller's region, or of all regions if it has none.
 fn name_vms(core: &Core, region: &str) -> Vec<SocketAddr> {
     let now = core.clock.now();
     let regions = &core.node().regions;
@@ -51,13 +52,11 @@
     let own = core.member.borrow();
     let own = Some(&*own).filter(|_| core.is_ready());
     let ready: Vec<&Member> = members.alive(now).filter(|member| member.ready).chain(own).collect();
-    let near = ready
-        .iter()
-        .filter(|member| regions.get(&member.domain).is_some_and(|each| each.as_ref() == region));
-    let mut addresses: Vec<SocketAddr> = near.map(|member| member.callers).collect();
-    if addresses.is_empty() {
-        addresses = ready.iter().map(|member| member.callers).collect();
-    }
+    let is_near =
+        |member: &&Member| regions.get(&member.domain).is_some_and(|each| **each == *region);
+    let near: Vec<&Member> = ready.iter().copied().filter(is_near).collect();
+    let named = naming::named(if near.is_empty() { &ready } else { &near });
+    let mut addresses: Vec<SocketAddr> = named.iter().map(|member| member.callers).collect();
     addresses.sort_unstable();
     addresses.truncate(ADDRESSES);
     addresses
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -22,6 +22,10 @@
     pub bounds: Bounds,
     /// The memory that the process may use, in bytes.
     pub memory_bytes: u64,
+    /// The part of a processor that the process has, in thousandths.
+    pub millicores: u32,
+    /// The bandwidth of the VM's link, in Mbit/s.
+    pub link_mbps: u32,
     /// The connections that the process may have open.
     pub connections: usize,
 }
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -242,6 +242,8 @@
             shift_max: 0.15,
         },
         memory_bytes: 64 * 1024 * 1024,
+        millicores: 1_000,
+        link_mbps: 1_000,
         connections: 1_000,
     }
 }
--- a/components/steering/src/membership.rs
+++ b/components/steering/src/membership.rs
@@ -28,6 +28,12 @@
     pub beat: u64,
     /// Whether callers should be sent there.
     pub ready: bool,
+    /// Its part of a processor, in thousandths.
+    pub millicores: u32,
+    /// The bandwidth of its link, in Mbit/s.
+    pub link_mbps: u32,
+    /// Whether its work comes late for want of processor time.
+    pub pressed: bool,
 }
 
 /// All VMs that were ever heard of, and when their counters last moved.
--- a/components/steering/tests/fleetwide.rs
+++ b/components/steering/tests/fleetwide.rs
@@ -116,6 +116,9 @@
         incarnation,
         beat,
         ready: true,
+        millicores: 1_000,
+        link_mbps: 1_000,
+        pressed: false,
     }
 }
 
