--- a/components/steering/tests/naming.rs
+++ b/components/steering/tests/naming.rs
@@ -69,6 +69,8 @@
 #[test]
 fn a_fast_processor_behind_a_thin_link_is_not_large() {
     let mut region = region();
+    // Fewer small ones, so that the four large ones still have two fifths of the processors.
+    region.truncate(25);
     region.push(member("thin", "d1", 500, 10));
     assert!(!names(&region).contains(&"thin"));
 }
