Leave a warm home only when it would miss the latency objective

Ruled out: apportionment (sud keeps everything) and the limit on crossing (the share stood still).

A home with a queue is used while it answers within the route's objective, which was read and not used before; else the soonest of both, with the usual work at home and elsewhere learnt apart.

--- a/components/gateway/src/fleet.rs
+++ b/components/gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
+use steering::affinity::Usual;
 use steering::apportion::{Region, Shares};
 use steering::catalogue::Catalogue;
 use steering::routing::Table;
@@ -30,8 +31,10 @@
     shares: HashMap<Arc<str>, Shares>,
     /// Round trips to each region, in ms.
     round_trips: HashMap<Arc<str>, f64>,
-    /// How long an answer takes on each route, without waiting, in ms.
+    /// How long an answer takes on each route, without the wait and the way, in ms.
     usual: HashMap<Arc<str>, f64>,
+    /// The same from upstreams outside the object's region.
+    elsewhere: HashMap<Arc<str>, f64>,
 }
 
 impl Fleet {
@@ -46,6 +49,7 @@
             shares: HashMap::new(),
             round_trips: HashMap::new(),
             usual: HashMap::new(),
+            elsewhere: HashMap::new(),
         }
     }
 
@@ -136,12 +140,21 @@
         self.round_trips.get(region).map_or(FAR_UNMEASURED, |mean| Millis(*mean as u64))
     }
 
-    /// Notes how long an answer took on a route when there was no wait.
-    pub fn answered(&mut self, route: &Arc<str>, took: Millis) {
-        mix(self.usual.entry(Arc::clone(route)).or_insert(took.0 as f64), took);
+    /// Notes how long an answer took on a route, less the way, when there was no wait at an upstream
+    /// that was in the object's region or not.
+    pub fn answered(&mut self, route: &Arc<str>, took: Millis, planned: bool) {
+        let means = if planned { &mut self.usual } else { &mut self.elsewhere };
+        mix(means.entry(Arc::clone(route)).or_insert(took.0 as f64), took);
     }
 
-    /// How long an answer takes on a route when there is no wait.
+    /// What is usual on a route, in the object's region and elsewhere.
+    pub fn work(&self, route: &str) -> Usual {
+        let planned = self.usual(route);
+        let elsewhere = self.elsewhere.get(route).map(|mean| Millis(*mean as u64));
+        Usual { planned, elsewhere: elsewhere.unwrap_or(planned).max(planned) }
+    }
+
+    /// How long an answer takes on a route without the wait and the way.
     pub fn usual(&self, route: &str) -> Millis {
         self.usual.get(route).map_or(USUAL_UNMEASURED, |mean| Millis(*mean as u64))
     }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -13,6 +13,7 @@
 use http1::Request;
 use std::rc::Rc;
 use std::sync::Arc;
+use steering::affinity::Reason;
 use steering::catalogue::Feed;
 use steering::routing::{Effect, Route, Service};
 
@@ -107,9 +108,24 @@
     core.repeats.borrow_mut().request(&service.name, arrived);
     let span = route.timeout.map_or(budget, |timeout| timeout.min(budget));
     let job = Job { head, body, id, deadline: arrived + span };
-    Tries { core, route: &route, service: &service, job, tried: Vec::new(), unknown: false }
-        .run(notes)
-        .await
+    Tries {
+        core,
+        route: &route,
+        service: &service,
+        job,
+        arrived,
+        tried: Vec::new(),
+        unknown: false,
+    }
+    .run(notes)
+    .await
+}
+
+/// An answer that had no wait at the upstream.
+struct Work {
+    took: Millis,
+    /// Whether the upstream was in the object's region.
+    planned: bool,
 }
 
 /// A request on its way through upstreams.
@@ -118,6 +134,7 @@
     route: &'a Route,
     service: &'a Service,
     job: Job,
+    arrived: Millis,
     tried: Vec<Arc<str>>,
     /// Whether an upstream may have run it.
     unknown: bool,
@@ -141,7 +158,8 @@
             let waited = server.load(started) >= f64::from(server.entry.slots);
             let outcome = attempt::run(self.core, &self.job, &server).await;
             let took = self.core.clock.now() - started;
-            self.learn(&server, &outcome, took, waited);
+            let planned = choice.reason != Reason::Far;
+            self.learn(&server, &outcome, (!waited).then_some(Work { took, planned }));
             let was_sent =
                 !matches!(&outcome, Outcome::Failed(cause) if cause.trace() == Trace::NotSent);
             notes.sent += u32::from(was_sent);
@@ -180,18 +198,21 @@
             service: self.service,
             object: object.map(|object| object.as_ref()).unwrap_or_default(),
             tried: &self.tried,
+            waited: now - self.arrived,
             left: self.job.deadline - now,
         };
         place::place(self.core, &demand).map_err(|full| full.retry_after)
     }
 
-    fn learn(&self, server: &Rc<Server>, outcome: &Outcome, took: Millis, waited: bool) {
+    fn learn(&self, server: &Rc<Server>, outcome: &Outcome, work: Option<Work>) {
         let now = self.core.clock.now();
         let failed = match outcome {
             Outcome::Answered(reply) if reply.status < 500 => {
                 server.succeeded();
-                if !waited {
-                    self.core.fleet.borrow_mut().answered(&self.route.name, took);
+                if let Some(Work { took, planned }) = work {
+                    let mut fleet = self.core.fleet.borrow_mut();
+                    let way = fleet.distance(&self.core.node().region, &server.region);
+                    fleet.answered(&self.route.name, took - way, planned);
                 }
                 false
             }
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -32,6 +32,8 @@
     pub object: &'a [u8],
     /// Upstreams that were tried.
     pub tried: &'a [Arc<str>],
+    /// The time since the request arrived.
+    pub waited: Millis,
     /// The time left.
     pub left: Millis,
 }
@@ -45,7 +47,7 @@
     let now = core.clock.now();
     let node = core.node();
     let fleet = core.fleet.borrow();
-    let usual = fleet.usual(&demand.route.name);
+    let usual = fleet.work(&demand.route.name);
     let servers: Vec<&Rc<Server>> = fleet
         .of(&demand.service.name)
         .iter()
@@ -73,7 +75,9 @@
             shunned: is_shunned(server),
         })
         .collect();
-    let ask = Ask { candidates: &candidates, object, usual, left: demand.left, policy: &policy };
+    let objective = demand.route.objective - demand.waited;
+    let wish = affinity::Demand { object, usual, objective, left: demand.left };
+    let ask = Ask { candidates: &candidates, demand: &wish, policy: &policy };
     let choice = match demand.tried.is_empty() {
         true => ask.steered(&mut core.crossing.borrow_mut(), now)?,
         // A second try is rare and takes what it gets.
@@ -89,16 +93,14 @@
 /// A question to `steering`.
 struct Ask<'a> {
     candidates: &'a [Candidate<'a>],
-    object: u64,
-    usual: Millis,
-    left: Millis,
+    demand: &'a affinity::Demand,
     policy: &'a Policy,
 }
 
 impl Ask<'_> {
     /// The best upstream of any region.
     fn any(&self) -> Result<Choice, Full> {
-        affinity::choose(self.candidates, self.object, self.usual, self.left, self.policy)
+        affinity::choose(self.candidates, self.demand, self.policy)
     }
 
     /// The best upstream, with the share of requests that leave their planned region kept steady.
--- a/components/steering/src/affinity.rs
+++ b/components/steering/src/affinity.rs
@@ -40,6 +40,28 @@
     pub spills: bool,
 }
 
+/// What has to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// The hash of the object.
+    pub object: u64,
+    /// How long an answer usually takes.
+    pub usual: Usual,
+    /// The time within which an answer is worth most.
+    pub objective: Millis,
+    /// The time within which an answer must be there.
+    pub left: Millis,
+}
+
+/// How long an answer usually takes without a wait.
+#[derive(Clone, Copy, Debug)]
+pub struct Usual {
+    /// From upstreams in the object's region, which are warm as a rule.
+    pub planned: Millis,
+    /// From other upstreams, less the way.
+    pub elsewhere: Millis,
+}
+
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
@@ -83,40 +105,41 @@
     pub retry_after: Millis,
 }
 
-/// Chooses among `candidates` for `object`, when an answer usually takes `usual` and must be there
-/// within `left`.
+/// Chooses among `candidates`. A home with a queue is left only when it would miss the objective:
+/// elsewhere the object is cold, and every request that leaves its region for a while moves twice.
 ///
 /// # Errors
 ///
 /// [`Full`] when no upstream could answer in time.
 pub fn choose(
     candidates: &[Candidate<'_>],
-    object: u64,
-    usual: Millis,
-    left: Millis,
+    demand: &Demand,
     policy: &Policy,
 ) -> Result<Choice, Full> {
-    let mut near = ranked(candidates, object, true);
-    let mut far = ranked(candidates, object, false);
+    let mut near = ranked(candidates, demand.object, true);
+    let mut far = ranked(candidates, demand.object, false);
     near.truncate(policy.homes);
     far.truncate(policy.far_homes);
     let free = |index: &usize| has_free_slot(&candidates[*index]);
     if let Some(index) = near.iter().copied().find(free) {
-        return Ok(choice(candidates, index, usual, Reason::Home));
+        return Ok(choice(candidates, index, demand, Reason::Home));
     }
     let room = |index: &usize| has_room(&candidates[*index], policy.queue);
     let homes = near.iter().copied().filter(room).map(|index| (index, Reason::Queue));
     let away = far.iter().copied().filter(room).map(|index| (index, Reason::Far));
     let best = homes
         .chain(away)
-        .map(|(index, reason)| choice(candidates, index, usual, reason))
-        .filter(|choice| choice.expected <= left)
-        .min_by_key(|choice| choice.expected);
+        .map(|(index, reason)| choice(candidates, index, demand, reason))
+        .filter(|choice| choice.expected <= demand.left)
+        .min_by_key(|choice| {
+            let in_time = choice.reason == Reason::Queue && choice.expected <= demand.objective;
+            (!in_time, choice.expected)
+        });
     if let Some(best) = best {
         return Ok(best);
     }
-    let spilled = policy.spills.then(|| spill(candidates, object, usual, left)).flatten();
-    spilled.ok_or_else(|| full(candidates, usual))
+    let spilled = policy.spills.then(|| spill(candidates, demand)).flatten();
+    spilled.ok_or_else(|| full(candidates, demand.usual))
 }
 
 /// The order of an object's upstreams in its region or outside it, shunned ones last.
@@ -133,27 +156,28 @@
 }
 
 /// Any upstream with a free slot; the nearest first, the object's own order decides among equals.
-fn spill(candidates: &[Candidate<'_>], object: u64, usual: Millis, left: Millis) -> Option<Choice> {
+fn spill(candidates: &[Candidate<'_>], demand: &Demand) -> Option<Choice> {
     let free = (0..candidates.len()).filter(|index| {
         let candidate = &candidates[*index];
         has_free_slot(candidate) && !candidate.shunned
     });
-    free.map(|index| choice(candidates, index, usual, Reason::Spill))
-        .filter(|choice| choice.expected <= left)
+    free.map(|index| choice(candidates, index, demand, Reason::Spill))
+        .filter(|choice| choice.expected <= demand.left)
         .min_by_key(|choice| {
             let candidate = &candidates[choice.index];
-            (candidate.distance, xxh3_64_with_seed(candidate.id.as_bytes(), !object))
+            (candidate.distance, xxh3_64_with_seed(candidate.id.as_bytes(), !demand.object))
         })
 }
 
-fn choice(candidates: &[Candidate<'_>], index: usize, usual: Millis, reason: Reason) -> Choice {
-    let expected = expected(&candidates[index], usual);
+fn choice(candidates: &[Candidate<'_>], index: usize, demand: &Demand, reason: Reason) -> Choice {
+    let expected = expected(&candidates[index], demand.usual);
     Choice { index, expected, reason }
 }
 
-fn expected(candidate: &Candidate<'_>, usual: Millis) -> Millis {
+fn expected(candidate: &Candidate<'_>, usual: Usual) -> Millis {
     let slots = f64::from(candidate.slots.max(1));
     let rounds = ((candidate.load + 1.0 - slots).max(0.0)) / slots;
+    let usual = if candidate.planned { usual.planned } else { usual.elsewhere };
     let work = usual.0 as f64 * candidate.slowness.max(0.1);
     Millis((work * (1.0 + rounds)) as u64) + candidate.distance
 }
@@ -167,7 +191,7 @@
     candidate.load + 1.0 <= slots + slots * queue
 }
 
-fn full(candidates: &[Candidate<'_>], usual: Millis) -> Full {
+fn full(candidates: &[Candidate<'_>], usual: Usual) -> Full {
     let soonest = candidates.iter().map(|candidate| expected(candidate, usual)).min();
-    Full { retry_after: soonest.unwrap_or(usual) - usual }
+    Full { retry_after: soonest.unwrap_or(usual.planned) - usual.planned }
 }
--- a/components/steering/tests/affinity.rs
+++ b/components/steering/tests/affinity.rs
@@ -2,10 +2,10 @@
 
 use clock::Millis;
 use std::collections::{BTreeMap, BTreeSet};
-use steering::affinity::{Candidate, Choice, Full, Policy, Reason, choose};
+use steering::affinity::{Candidate, Choice, Demand, Full, Policy, Reason, Usual, choose};
 
 const POLICY: Policy = Policy { homes: 1, far_homes: 1, queue: 2.0, spills: false };
-const USUAL: Millis = Millis(100);
+const USUAL: Usual = Usual { planned: Millis(100), elsewhere: Millis(100) };
 const LEFT: Millis = Millis(2_000);
 const FAR: Millis = Millis(50);
 
@@ -15,7 +15,12 @@
 }
 
 fn place(candidates: &[Candidate<'_>], object: u64) -> Result<Choice, Full> {
-    choose(candidates, object, USUAL, LEFT, &POLICY)
+    choose(candidates, &demand(object), &POLICY)
+}
+
+/// Demand that no wait satisfies, so that the soonest answer decides.
+fn demand(object: u64) -> Demand {
+    Demand { object, usual: USUAL, objective: Millis::ZERO, left: LEFT }
 }
 
 fn names(count: usize) -> Vec<String> {
@@ -85,6 +90,38 @@
     assert_eq!(reasons, [Reason::Home, Reason::Home, Reason::Queue, Reason::Far, Reason::Far]);
 }
 
+/// The pattern of a grown fleet: the queue at a warm home moves four times as fast as an upstream
+/// in another region works on an object that it doesn't know.
+#[test]
+fn a_warm_home_is_waited_for_while_work_elsewhere_takes_longer() {
+    let mut candidates = vec![candidate("a", true), candidate("z", false)];
+    let usual = Usual { planned: Millis(100), elsewhere: Millis(400) };
+    let reasons: Vec<Reason> = [3.0, 8.0, 9.0]
+        .into_iter()
+        .map(|load| {
+            candidates[0].load = load;
+            choose(&candidates, &Demand { usual, ..demand(1) }, &POLICY).unwrap().reason
+        })
+        .collect();
+    assert_eq!(reasons, [Reason::Queue, Reason::Queue, Reason::Far]);
+}
+
+/// The pattern of a day's end on a grown fleet: a fifth of a region's requests went to and fro for
+/// waits of a few milliseconds, and the last ones on their way were all in other regions.
+#[test]
+fn a_home_that_answers_within_the_objective_is_waited_for() {
+    let mut candidates = vec![candidate("a", true), candidate("z", false)];
+    let reasons: Vec<Reason> = [4.0, 8.0, 8.5]
+        .into_iter()
+        .map(|load| {
+            candidates[0].load = load;
+            let demand = Demand { objective: Millis(300), ..demand(1) };
+            choose(&candidates, &demand, &POLICY).unwrap().reason
+        })
+        .collect();
+    assert_eq!(reasons, [Reason::Queue, Reason::Queue, Reason::Far]);
+}
+
 #[test]
 fn what_no_home_can_answer_is_refused_with_the_time_until_there_is_room() {
     let mut candidates = vec![candidate("a", true), candidate("z", false)];
@@ -112,7 +149,7 @@
     let mut candidates: Vec<Candidate<'_>> = names.iter().map(|id| candidate(id, true)).collect();
     candidates.iter_mut().take(3).for_each(|each| each.load = 3.0);
     for object in 0..50 {
-        let chosen = choose(&candidates, object, USUAL, LEFT, &policy).unwrap();
+        let chosen = choose(&candidates, &demand(object), &policy).unwrap();
         assert_eq!((chosen.index, chosen.reason), (3, Reason::Home));
     }
 }
