--- a/components/harness/src/process.rs
+++ b/components/harness/src/process.rs
@@ -24,6 +24,8 @@
     Stop,
     /// Wakes a frozen process.
     Cont,
+    /// Asks the process to read its settings again.
+    Hup,
 }
 
 impl Signal {
@@ -33,6 +35,7 @@
             Signal::Kill => "KILL",
             Signal::Stop => "STOP",
             Signal::Cont => "CONT",
+            Signal::Hup => "HUP",
         }
     }
 }
--- /dev/null
+++ b/components/soak/src/main.rs
@@ -0,0 +1,79 @@
+//! Plays seeds of the fault soak by hand.
+
+use argh::FromArgs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Plays a randomised series of faults against real gateway processes on loopback.
+#[derive(FromArgs)]
+struct Options {
+    #[argh(subcommand)]
+    list: Option<List>,
+    /// the first seed (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how many seeds are played, one after the other (default 1)
+    #[argh(option, default = "1")]
+    count: u64,
+    /// how long each is played, in seconds (default 20)
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// the gateway's program (default: beside this one)
+    #[argh(option)]
+    program: Option<PathBuf>,
+}
+
+/// Lists the seeds that failed once, with their causes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct List {}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    if options.list.is_some() {
+        for seed in soak::seeds() {
+            println!("{} {} s: {}", seed.number, seed.seconds, seed.cause);
+        }
+        return ExitCode::SUCCESS;
+    }
+    let Some(program) = options.program.clone().or_else(beside) else {
+        eprintln!("can't tell where the gateway is: give --program");
+        return ExitCode::FAILURE;
+    };
+    let mut failed = false;
+    for seed in options.seed..options.seed + options.count {
+        failed |= !play(seed, options.seconds, &program).await;
+    }
+    if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
+
+/// Plays one seed and tells what came of it; true if no promise was broken.
+async fn play(seed: u64, seconds: u64, program: &std::path::Path) -> bool {
+    let directory = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
+    let report = match soak::play(seed, seconds, program, &directory).await {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("seed {seed}: {error}");
+            return false;
+        }
+    };
+    let answers: Vec<String> =
+        report.answers.iter().map(|(status, count)| format!("{status}: {count}")).collect();
+    let faults = report.faults.len();
+    println!("seed {seed}, {seconds} s, {faults} faults; {}", answers.join(", "));
+    if report.broken.is_empty() {
+        return true;
+    }
+    for (at, fault) in &report.faults {
+        println!("  {:.3} s {fault:?}", at.as_secs_f64());
+    }
+    for broken in &report.broken {
+        println!("  BROKEN {broken}");
+    }
+    false
+}
+
+fn beside() -> Option<PathBuf> {
+    Some(std::env::current_exe().ok()?.with_file_name("gatewayd"))
+}
