--- a/components/operator/src/key.rs
+++ b/components/operator/src/key.rs
@@ -3,34 +3,30 @@
 use errors::Kind;
 use salvo::http::header::{AUTHORIZATION, HeaderValue};
 use salvo::{Depot, FlowCtrl, Request, Response};
-use std::fmt;
+use secret::Secret;
 use std::sync::Arc;
 use telemetry::names;
 
 const SCHEME: &str = "Bearer ";
 
-/// The key that operators share; it never shows in a log.
-#[derive(Clone)]
-pub struct Key {
-    secret: Arc<str>,
-    digest: blake3::Hash,
-}
+/// The key that operators share.
+#[derive(Clone, Debug)]
+pub struct Key(Secret);
 
 impl Key {
     /// The key with this secret.
     pub fn new(secret: Arc<str>) -> Key {
-        let digest = blake3::hash(secret.as_bytes());
-        Key { secret, digest }
+        Key(Secret::new(secret))
     }
 
-    /// Whether `presented` is this key; digests are compared, in constant time.
+    /// Whether `presented` is this key.
     pub fn admits(&self, presented: &[u8]) -> bool {
-        blake3::hash(presented) == self.digest
+        self.0.admits(presented)
     }
 
     /// The value of the `Authorization` header.
     pub(crate) fn authorization(&self) -> String {
-        format!("{SCHEME}{}", self.secret)
+        format!("{SCHEME}{}", self.0.reveal())
     }
 
     fn admits_header(&self, value: &HeaderValue) -> bool {
@@ -39,12 +35,6 @@
     }
 }
 
-impl fmt::Debug for Key {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Key(..)")
-    }
-}
-
 #[salvo::async_trait]
 impl salvo::Handler for Key {
     async fn handle(
--- a/components/peer/src/http/key.rs
+++ b/components/peer/src/http/key.rs
@@ -1,39 +1,29 @@
 use crate::http::refuse;
 use errors::{Error, Kind};
 use salvo::{Depot, FlowCtrl, Request, Response};
-use std::fmt;
+use secret::Secret;
 use std::sync::Arc;
 
 /// The header that carries the peers' key.
 pub const HEADER: &str = "x-peer-key";
 
-/// The key that peers share; it never shows in a log.
-#[derive(Clone)]
-pub struct Key {
-    secret: Arc<str>,
-    digest: blake3::Hash,
-}
+/// The key that peers share.
+#[derive(Clone, Debug)]
+pub struct Key(Secret);
 
 impl Key {
     /// The key with this secret.
     pub fn new(secret: Arc<str>) -> Key {
-        let digest = blake3::hash(secret.as_bytes());
-        Key { secret, digest }
+        Key(Secret::new(secret))
     }
 
     pub(crate) fn secret(&self) -> &str {
-        &self.secret
+        self.0.reveal()
     }
 
-    /// Whether `presented` is this key; digests are compared, in constant time.
+    /// Whether `presented` is this key.
     pub fn admits(&self, presented: &[u8]) -> bool {
-        blake3::hash(presented) == self.digest
-    }
-}
-
-impl fmt::Debug for Key {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Key(..)")
+        self.0.admits(presented)
     }
 }
 
--- /dev/null
+++ b/components/secret/tests/secret.rs
@@ -0,0 +1,17 @@
+//! A secret admits itself only and never shows.
+
+use secret::Secret;
+
+#[test]
+fn only_the_whole_secret_is_admitted() {
+    let secret = Secret::new("correct horse".into());
+    assert!(secret.admits(b"correct horse"));
+    for presented in [&b""[..], b"correct", b"correct horse ", b"Correct horse"] {
+        assert!(!secret.admits(presented), "{presented:?}");
+    }
+}
+
+#[test]
+fn a_secret_is_not_printed() {
+    assert!(!format!("{:?}", Secret::new("correct horse".into())).contains("horse"));
+}
--- a/components/steering/src/apportion.rs
+++ b/components/steering/src/apportion.rs
@@ -5,13 +5,12 @@
 //! region refuse for many seconds while the share that crosses ramps up; the slots of all
 //! upstreams are known before the first request. See docs/PLACEMENT.md, "Between regions".
 
+use crate::crossing::WINDOW;
 use clock::Millis;
 use std::cell::Cell;
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The window to which the deployment's bound on shifts refers.
-const WINDOW: Millis = Millis(2_000);
 /// The part of the allowed rate of change that changed capacity uses; overflow has the rest.
 const RATE_USED: f64 = 0.3;
 /// Separates the hash that decides whether an object stays from those that rank other regions.
--- a/components/steering/src/crossing.rs
+++ b/components/steering/src/crossing.rs
@@ -11,7 +11,7 @@
 /// different VMs and the wait of requests in upstreams' queues blur the rest.
 const RATE_USED: f64 = 0.5;
 /// The window to which the deployment's bound on shifts refers.
-const WINDOW: Millis = Millis(2_000);
+pub(crate) const WINDOW: Millis = Millis(2_000);
 /// The time over which wishes are averaged; shorter than a window, so that the share keeps up.
 const WISH_SPAN: Millis = Millis(1_000);
 /// Requests that may run ahead of or behind the share, so that those that gain most cross.
