Test allowed regions, cold upstreams and silent ones at the gateway

The rate for a cold upstream is held by one VM alone here; steering's fleetwide test covers the sum over VMs.

--- a/components/gateway/tests/upstreams.rs
+++ b/components/gateway/tests/upstreams.rs
@@ -248,3 +248,75 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_route_is_served_in_its_allowed_regions_only() {
+    play(async |world| {
+        let near = world.upstream_in("near", "d1").await;
+        let far = world.upstream_in("far", "d2").await;
+        world.declare_with(1, |configuration| {
+            let routes = configuration.routes.iter().map(|each| {
+                let regions = vec!["r2".into()];
+                std::sync::Arc::new(steering::routing::Route { regions, ..(**each).clone() })
+            });
+            configuration.routes = routes.collect();
+        });
+        let vm = world.gateway("a").await;
+        vm.await_ready().await;
+        for object in 0..20 {
+            let request = get(&format!("/read/{object}"), &format!("r{object}"));
+            let request = request.replace("test-object: 7", &format!("test-object: {object}"));
+            assert_eq!(ask(&vm, &request).await.status, 200);
+        }
+        assert_eq!((near.seen().len(), far.seen().len()), (0, 20));
+        far.script([Act::Shed]);
+        assert_eq!(ask(&vm, &post("/order/1", "o", "x")).await.status, 503);
+        assert!(near.seen().is_empty(), "a full region is no reason to leave it");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_cold_upstream_gets_no_more_than_its_rate() {
+    play(async |world| {
+        let standin = world.upstream("warm").await;
+        let cold = steering::routing::Upstream {
+            cold_left: Millis(10_000),
+            ..entry("warm", standin.address, Readiness::Ready)
+        };
+        world.store.put_upstream(cold);
+        world.declare(1);
+        let vm = world.gateway("a").await;
+        vm.await_ready().await;
+        let mut caller = vm.connect().await;
+        let mut served = 0;
+        for number in 0..40 {
+            let answer = caller.ask(&get(&format!("/read/{number}"), "r")).await.unwrap();
+            assert!(matches!(answer.status, 200 | 503), "{}", answer.status);
+            served += usize::from(answer.status == 200);
+            tokio::time::sleep(Millis(25).duration()).await;
+        }
+        // Five a second are borne by all VMs together, and a second has passed.
+        assert!((1..=5).contains(&served), "{served}");
+        assert_eq!(standin.seen().len(), served);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_silent_upstream_costs_one_deadline_each_until_it_is_shunned() {
+    play(async |world| {
+        let (home, other, vm) = two(&world, Act::Answer).await;
+        home.script([Act::Hang]);
+        for number in 0..2 {
+            let started = std::time::Instant::now();
+            let request = get(&format!("/read/{number}"), "r").replace("1500", "400");
+            assert_eq!(ask(&vm, &request).await.status, 504);
+            let took = started.elapsed().as_millis();
+            assert!((350..900).contains(&took), "{took}");
+        }
+        let answer = ask(&vm, &get("/read/2", "r")).await;
+        assert_eq!((answer.status, answer.text()), (200, format!("{} /read/2", other.id)));
+    })
+    .await;
+}
