Send nothing to cold upstreams until a VM knows the fleet, and tell newcomers of it

Three VMs may send to a cold upstream, chosen by rendezvous among those alive; a VM that knows nobody takes itself for one of them, and 14 sent within a second, 12.9 allowed. Ruled out: the spacing (each VM sent once).

A VM that started less than 1.5 s ago sends nothing to cold upstreams, and whoever hears from a VM that was not alive or has started again tells it of all it knows. The test of VMs that start together failed before.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -49,6 +49,8 @@
     pub dialect: Box<dyn Dialect>,
     /// The time.
     pub clock: Clock,
+    /// When the process started.
+    pub started: Millis,
     /// Configuration, evacuations and upstreams.
     pub catalogue: RefCell<Catalogue>,
     /// The routes of the configuration in force.
@@ -121,6 +123,7 @@
         Core {
             dialect,
             clock,
+            started: now,
             catalogue: RefCell::default(),
             table: RefCell::default(),
             fleet: RefCell::new(Fleet::new(&node)),
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -26,6 +26,8 @@
 const TOLD: usize = 3;
 /// Other VMs that a heartbeat tells the least of, in about eight bytes each.
 const BEATS: usize = 100;
+/// Other VMs that one datagram to a newcomer tells all of.
+const WELCOMED: usize = 8;
 /// Seeds are asked again in every round in which fewer VMs than this are known.
 const LONELY: usize = 1;
 /// The most bytes of a datagram.
@@ -89,7 +91,8 @@
     }
     alive.shuffle(&mut rand::rng());
     alive.truncate(TOLD);
-    let bytes = encode(core, alive);
+    let beats = core.members.borrow().beats(BEATS, now, &mut rand::rng());
+    let bytes = encode(core, alive, &beats);
     for target in targets {
         if let Err(error) = socket.send_to(&bytes, target).await {
             log::debug!(target: "heartbeat", cause:% = error; "heartbeat not sent");
@@ -114,7 +117,11 @@
             }
         };
         match rmp_serde::from_slice::<Heartbeat>(&buffer[..length]) {
-            Ok(heartbeat) => take_in(&core, heartbeat, &notify),
+            Ok(heartbeat) => {
+                if let Some(newcomer) = take_in(&core, heartbeat, &notify) {
+                    welcome(&core, &socket, newcomer).await;
+                }
+            }
             Err(error) => {
                 log::debug!(target: "heartbeat", from:% = from, cause:% = error; "not a heartbeat");
             }
@@ -122,18 +129,31 @@
     }
 }
 
-fn take_in<Notify>(core: &Core, heartbeat: Heartbeat, notify: &Notify)
+/// Tells a VM that was not alive until now of all others, so that it knows the fleet at once.
+async fn welcome(core: &Core, socket: &UdpSocket, newcomer: SocketAddr) {
+    let alive: Vec<Member> = core.members.borrow().alive(core.clock.now()).cloned().collect();
+    for told in alive.chunks(WELCOMED) {
+        let bytes = encode(core, told.to_vec(), &[]);
+        if let Err(error) = socket.send_to(&bytes, newcomer).await {
+            log::debug!(target: "heartbeat", cause:% = error; "newcomer not told");
+        }
+    }
+}
+
+/// Takes in a heartbeat; gives the address of its sender if that is a newcomer.
+fn take_in<Notify>(core: &Core, heartbeat: Heartbeat, notify: &Notify) -> Option<SocketAddr>
 where
     Notify: Fn(Ahead),
 {
     let now = core.clock.now();
-    let Some(changes) = heartbeat.members.first().map(|sender| sender.changes) else {
-        return;
-    };
-    for member in heartbeat.members {
+    let sender = heartbeat.members.first()?;
+    let (changes, address) = (sender.changes, sender.heartbeats);
+    let mut newcomer = None;
+    for (position, member) in heartbeat.members.into_iter().enumerate() {
         let vm = Arc::clone(&member.vm);
         if core.members.borrow_mut().hear(member, now) {
             log::info!(target: "belief", vm = vm.as_ref(); "entry VM alive");
+            newcomer = newcomer.or((position == 0).then_some(address));
         }
     }
     if let Some((start, end)) = heartbeat.contact {
@@ -155,9 +175,10 @@
             notify(Ahead { changes, feed, revision });
         }
     }
+    newcomer
 }
 
-fn encode(core: &Core, told: Vec<Member>) -> Vec<u8> {
+fn encode(core: &Core, told: Vec<Member>, beats: &[Beat]) -> Vec<u8> {
     let own = {
         let mut own = core.member.borrow_mut();
         own.beat += 1;
@@ -173,7 +194,7 @@
     let ages = Feed::ALL.map(|feed| core.confirmed_age(feed).map(|age| age.0));
     let now = core.clock.now();
     let contact = core.contact.get().map(|known| ((now - known.start).0, (now - known.end).0));
-    let beats = core.members.borrow().beats(BEATS, now, &mut rand::rng());
+    let beats = beats.to_vec();
     rmp_serde::to_vec(&Heartbeat { members, beats, revisions, ages, contact }).unwrap_or_else(
         |error| {
             log::error!(target: "heartbeat", cause:% = error; "heartbeat can't be encoded");
--- a/components/gateway/src/place.rs
+++ b/components/gateway/src/place.rs
@@ -151,5 +151,6 @@
     }
     let members = core.members.borrow();
     let vms = members.alive(now).map(|member| member.vm.as_ref());
-    server.cold_ready(now) && warmup::sends(&server.entry.id, &core.node().vm, vms)
+    server.cold_ready(now)
+        && warmup::sends(&server.entry.id, &core.node().vm, now - core.started, vms)
 }
--- a/components/gateway/tests/upstreams.rs
+++ b/components/gateway/tests/upstreams.rs
@@ -288,6 +288,8 @@
         world.declare(1);
         let vm = world.gateway("a").await;
         vm.await_ready().await;
+        // A VM that has just started doesn't know yet who else sends.
+        tokio::time::sleep(Millis(1_500).duration()).await;
         let mut caller = vm.connect().await;
         let mut served = 0;
         for number in 0..40 {
--- a/components/steering/src/membership.rs
+++ b/components/steering/src/membership.rs
@@ -88,7 +88,8 @@
         Members { own, heard: HashMap::new(), names: HashMap::new(), silence, memory }
     }
 
-    /// Takes in what was heard of a VM; true if it was not known or had counted as dead.
+    /// Takes in what was heard of a VM; true if it was not known, had counted as dead or
+    /// has started again.
     pub fn hear(&mut self, member: Member, now: Millis) -> bool {
         if member.vm == self.own {
             return false;
@@ -104,11 +105,12 @@
         if (member.incarnation, member.beat) <= order {
             return false;
         }
+        let is_new = member.incarnation > known.member.incarnation;
         let was_dead = known.moved + silence <= now;
         self.names.remove(&known.member.key());
         self.names.insert(key, Arc::clone(&member.vm));
         *known = Heard { member, moved: now };
-        was_dead
+        is_new || was_dead
     }
 
     /// Takes in the least that was heard of a VM; its name if it had counted as dead. One that is not
--- a/components/steering/src/warmup.rs
+++ b/components/steering/src/warmup.rs
@@ -8,14 +8,21 @@
 
 /// The most VMs that send to one cold upstream; a fleet that disagrees may double it.
 const SENDERS: usize = 3;
+/// Time in which a VM that has started learns of the others; until then it would take itself for one
+/// of the few senders, as would all that start with it.
+const LEARNS_FLEET: Millis = Millis(1_500);
 /// Part of the rate that is used, since a VM that left the fleet may still be sending.
 const RATE_USED: f64 = 0.6;
 
-/// Whether `vm` is one of those that send to the cold upstream `id`, among all live `vms`.
-pub fn sends<'a, Vms>(id: &str, vm: &str, vms: Vms) -> bool
+/// Whether `vm`, which started `age` ago, is one of those that send to the cold upstream `id`, among
+/// all live `vms`.
+pub fn sends<'a, Vms>(id: &str, vm: &str, age: Millis, vms: Vms) -> bool
 where
     Vms: Iterator<Item = &'a str>,
 {
+    if age < LEARNS_FLEET {
+        return false;
+    }
     let own = rank(id, vm);
     vms.filter(|other| *other != vm && rank(id, other) > own).count() < SENDERS
 }
--- a/components/steering/tests/fleetwide.rs
+++ b/components/steering/tests/fleetwide.rs
@@ -11,6 +11,8 @@
 use steering::warmup;
 
 const WINDOW: Millis = Millis(10_000);
+/// An age at which a VM knows the fleet.
+const OLD: Millis = Millis(60_000);
 const TERMS: Terms = Terms { ratio: 0.2, window: WINDOW, allowance: 58.0 };
 
 fn config() -> ProptestConfig {
@@ -92,7 +94,7 @@
         let mut sends = Vec::new();
         for side in [left, right] {
             for (vm, name) in side.iter().enumerate() {
-                if warmup::sends("u", name, side.iter().map(String::as_str)) {
+                if warmup::sends("u", name, OLD, side.iter().map(String::as_str)) {
                     sends.extend((0..20).map(|number| phases[vm] + number * spacing.0));
                 }
             }
@@ -124,6 +126,19 @@
     }
 }
 
+/// The pattern of a region that comes back: its VMs and upstreams start at the same time, and each VM
+/// knows nobody yet. Fourteen of them sent to one cold upstream within a second.
+#[test]
+fn vms_that_start_together_don_t_all_send_to_a_cold_upstream() {
+    let nobody = || std::iter::empty::<&str>();
+    let names: Vec<String> = (0..24).map(|vm| format!("vm{vm}")).collect();
+    let senders = |age| names.iter().filter(|name| warmup::sends("u", name, age, nobody())).count();
+    assert_eq!(senders(Millis(1_000)), 0);
+    let others = || names.iter().map(String::as_str);
+    let senders = names.iter().filter(|name| warmup::sends("u", name, OLD, others())).count();
+    assert_eq!(senders, 3);
+}
+
 #[test]
 fn a_vm_is_alive_while_its_own_counter_moves() {
     let mut members = Members::new("own".into(), Millis(3_000), Millis(15_000));
