--- a/components/bench/src/serving.rs
+++ b/components/bench/src/serving.rs
@@ -1,6 +1,11 @@
 //! Requests from entry VMs to the upstreams of one service, in virtual time.
 
-use crate::Scene;
+mod demand;
+mod policy;
+
+pub use demand::{Demand, Long, Slowdown};
+pub use policy::Policy;
+
 use crate::fake::Server;
 use crate::queue::Queue;
 use clock::Millis;
@@ -10,8 +15,7 @@
 use settings::Class;
 use std::collections::VecDeque;
 use steering::choice::{
-    Choice, LeastReported, Member, Outcome, Pool, Random, Ranked, Reason, Report, Roster,
-    RoundRobin, Task, Ticket, TwoChoices, Unavailable,
+    Choice, Member, Outcome, Pool, Reason, Report, Roster, Task, Ticket, Unavailable,
 };
 use steering::class::Classes;
 use steering::hedge::{Budget, Delay};
@@ -26,126 +30,6 @@
 /// Virtual time starts late, so that spans before it don't saturate.
 const EPOCH_MS: u64 = 1_000_000;
 
-/// A policy of choice with what goes around it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Policy {
-    /// Any upstream.
-    Random,
-    /// One after the other.
-    RoundRobin,
-    /// The least load report.
-    LeastReported,
-    /// The better of two by own requests in flight.
-    TwoChoices,
-    /// One that sees every server and every request on the way: what no real policy can beat by
-    /// much, to tell a missed target from one that the machines can't meet.
-    Omniscient,
-    /// Ours, but each entry VM uses only the upstreams of its own region.
-    RankedRegion,
-    /// Ours, without hedges.
-    RankedAlone,
-    /// Ours.
-    Ranked,
-}
-
-impl Policy {
-    /// The baselines and ours.
-    pub const ALL: [Policy; 8] = [
-        Policy::Random,
-        Policy::RoundRobin,
-        Policy::LeastReported,
-        Policy::TwoChoices,
-        Policy::Omniscient,
-        Policy::RankedRegion,
-        Policy::RankedAlone,
-        Policy::Ranked,
-    ];
-
-    /// The policy's name in tables.
-    pub fn name(self) -> &'static str {
-        match self {
-            Policy::Random => "random",
-            Policy::RoundRobin => "round robin",
-            Policy::LeastReported => "least reported",
-            Policy::TwoChoices => "two choices",
-            Policy::Omniscient => "omniscient (bound)",
-            Policy::RankedRegion => "ranked, own region",
-            Policy::RankedAlone => "ranked, no hedges",
-            Policy::Ranked => "ranked (ours)",
-        }
-    }
-
-    fn choice(self) -> Box<dyn Choice> {
-        match self {
-            Policy::Random | Policy::Omniscient => Box::new(Random),
-            Policy::RoundRobin => Box::new(RoundRobin::default()),
-            Policy::LeastReported => Box::new(LeastReported),
-            Policy::TwoChoices => Box::new(TwoChoices),
-            Policy::RankedRegion | Policy::RankedAlone | Policy::Ranked => Box::new(Ranked),
-        }
-    }
-
-    fn hedges(self) -> bool {
-        matches!(self, Policy::RankedRegion | Policy::Ranked)
-    }
-
-    fn is_ours(self) -> bool {
-        matches!(self, Policy::RankedRegion | Policy::RankedAlone | Policy::Ranked)
-    }
-}
-
-/// What callers ask for and what goes wrong.
-#[derive(Clone, Copy, Debug)]
-pub struct Demand {
-    /// The deployment.
-    pub scene: Scene,
-    /// Requests a second at each entry VM.
-    pub rate: f64,
-    /// Seconds that are measured, after a warm-up.
-    pub seconds: u64,
-    /// Long requests among them.
-    pub long: Option<Long>,
-    /// Whether short requests are left out, to measure long ones alone.
-    pub only_long: bool,
-    /// Upstreams that are slowed from the end of the warm-up.
-    pub slowdown: Option<Slowdown>,
-    /// How late load reports arrive.
-    pub report_lag: Millis,
-}
-
-/// Long requests.
-#[derive(Clone, Copy, Debug)]
-pub struct Long {
-    /// Their part of all requests.
-    pub part: f64,
-    /// How many times longer they take.
-    pub factor: u64,
-}
-
-/// Slowed upstreams, drawn by the seed.
-#[derive(Clone, Copy, Debug)]
-pub struct Slowdown {
-    /// How many.
-    pub servers: usize,
-    /// How many times slower.
-    pub factor: u64,
-}
-
-impl Demand {
-    /// The rate at each entry VM that keeps `load` of all slots busy with requests of `mean_us`.
-    pub fn rate(scene: Scene, load: f64, mean_us: f64) -> f64 {
-        let snapshot = scene.snapshot();
-        let slots = snapshot.upstreams.len() as f64 * f64::from(scene.slots());
-        load * slots / (mean_us / 1e6) / snapshot.vms.len() as f64
-    }
-
-    /// The mean time of a request in microseconds.
-    pub fn mean_us(long: Option<Long>) -> f64 {
-        let extra = long.map_or(0.0, |long| long.part * (long.factor as f64 - 1.0));
-        SHORT_MEAN_US as f64 * (1.0 + extra)
-    }
-}
-
 /// What one run brought.
 #[derive(Clone, Debug)]
 pub struct Served {
