Log each batch of changes with its source and revisions

The logs named the upstreams that a batch added or removed, but not which peer sent it, from which revision on, or whether it was a full listing. An upstream that one VM kept for good could not be traced to the batch that skipped it.

`changes received` says so for each batch, except for long polls that ended without a change: a few lines a second on a VM during a release.

--- a/components/gateway/src/changes.rs
+++ b/components/gateway/src/changes.rs
@@ -1,6 +1,6 @@
 //! Changes that entry VMs fetch from a peer when they don't get them from the store.
 
-use crate::core::Core;
+use crate::core::{Core, Origin};
 use crate::heartbeat::NewerRevision;
 use crate::reply::{Body, Reply};
 use bytes::Bytes;
@@ -10,6 +10,7 @@
 use http1::{Call, Client, Headers, Request};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use steering::catalogue::{Batch, Feed};
 
 /// A VM that received a response of the store within this time doesn't ask peers: the change
@@ -100,24 +101,30 @@
         timeout: REQUEST_TIMEOUT,
     };
     match client.call(&call).await {
-        Ok((response, body)) if response.status == 200 => apply(core, &body),
+        Ok((response, body)) if response.status == 200 => apply(core, &body, newer.peer),
         Ok((response, _)) => {
             log::info!(
-                target: "changes", status = response.status;
+                target: "changes", peer = newer.peer.as_ref(), status = response.status;
                 "peer rejected the request for changes"
             );
         }
         Err(error) => {
-            log::info!(target: "changes", cause:% = error; "can't fetch changes from a peer");
+            log::info!(
+                target: "changes", peer = newer.peer.as_ref(), cause:% = error;
+                "can't fetch changes from a peer"
+            );
         }
     }
 }
 
-fn apply(core: &Core, body: &Bytes) {
+fn apply(core: &Core, body: &Bytes, peer: Arc<str>) {
     match rmp_serde::from_slice::<Batch>(body) {
-        Ok(batch) => core.apply(batch, "neighbour"),
+        Ok(batch) => core.apply(batch, &Origin::Peer(peer)),
         Err(error) => {
-            log::warn!(target: "changes", cause:% = error; "ignoring malformed changes of a peer");
+            log::warn!(
+                target: "changes", peer = peer.as_ref(), cause:% = error;
+                "ignoring malformed changes of a peer"
+            );
         }
     }
 }
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -30,6 +30,25 @@
 /// bound, which is longer.
 const EXPIRY_INTERVAL: Millis = Millis(500);
 
+/// Where a batch of changes comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The store.
+    Store,
+    /// The peer of this name.
+    Peer(Arc<str>),
+}
+
+impl Origin {
+    /// The value of the log key `from`.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Origin::Store => "store",
+            Origin::Peer(_) => "neighbour",
+        }
+    }
+}
+
 /// Phases of the process, up to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -183,16 +202,17 @@
         self.members.borrow().recent(self.clock.now()) + 1
     }
 
-    /// Applies changes to the catalogue and what derives from it; `from` is their source, for the
-    /// log.
-    pub fn apply(&self, batch: Batch, from: &str) {
+    /// Applies changes to the catalogue and what derives from it.
+    pub fn apply(&self, batch: Batch, origin: &Origin) {
         let now = self.clock.now();
         let feed = batch.feed;
         let lapse = self.settings().bounds.drain - LAPSE_MARGIN;
         // Not every change has an event: a new address or number of slots of an upstream has none.
         let has_changes = batch.full || !batch.changes.is_empty();
+        let known = self.catalogue.borrow().revision(feed);
+        crate::reporting::batch_received(&batch, known, origin);
         let events = self.catalogue.borrow_mut().apply(batch, now, lapse);
-        crate::reporting::catalogue_events(&events, from);
+        crate::reporting::catalogue_events(&events, origin.as_str());
         if has_changes {
             self.refresh(feed);
             self.state_changed.notify_one();
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the feeds of the store with long polls.
 
-use crate::core::Core;
+use crate::core::{Core, Origin};
 use crate::{Source, Update};
 use clock::Millis;
 use rand::RngExt;
@@ -44,7 +44,7 @@
                 core.record_store_response(feed);
                 listed = true;
                 let is_empty = batch.changes.is_empty();
-                core.apply(batch, "store");
+                core.apply(batch, &Origin::Store);
                 if !is_empty {
                     core.clock.sleep(batch_delay(&core, feed)).await;
                 }
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -50,8 +50,10 @@
 }
 
 /// A revision that a peer has and this VM lacks.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct NewerRevision {
+    /// Name of the peer.
+    pub peer: Arc<str>,
     /// Where the peer serves changes.
     pub address: SocketAddr,
     /// The feed.
@@ -160,7 +162,7 @@
 {
     let now = core.clock.now();
     let sender = heartbeat.members.first()?;
-    let (address, heartbeats) = (sender.changes, sender.heartbeats);
+    let (peer, address, heartbeats) = (Arc::clone(&sender.vm), sender.changes, sender.heartbeats);
     let mut joined = None;
     for (position, member) in heartbeat.members.into_iter().enumerate() {
         let vm = Arc::clone(&member.vm);
@@ -185,7 +187,7 @@
             core.confirm(feed, now - Millis(age));
         }
         if revision > catalogue.revision(feed) || (revision > 0 && !catalogue.is_listed(feed)) {
-            on_newer(NewerRevision { address, feed, revision });
+            on_newer(NewerRevision { peer: Arc::clone(&peer), address, feed, revision });
         }
     }
     joined
--- a/components/gateway/src/reporting.rs
+++ b/components/gateway/src/reporting.rs
@@ -2,8 +2,9 @@
 //!
 //! docs/OPERATIONS.md shows how to get from a request's id to the cause of its failure.
 
+use crate::core::Origin;
 use clock::Millis;
-use steering::catalogue::Event;
+use steering::catalogue::{Batch, Event};
 use telemetry::{Admission, names};
 
 /// The log record of a completed request.
@@ -76,6 +77,21 @@
     }
 }
 
+/// Logs a batch of changes before it is applied; `known` is the revision up to which this VM knows
+/// the feed. Long polls that ended without a change are left out.
+pub fn batch_received(batch: &Batch, known: u64, origin: &Origin) {
+    let peer = match origin {
+        Origin::Store if !batch.full && batch.changes.is_empty() => return,
+        Origin::Store => "",
+        Origin::Peer(peer) => peer.as_ref(),
+    };
+    log::info!(
+        target: "changes", feed = batch.feed.as_str(), from = origin.as_str(), peer = peer,
+        full = batch.full, known = known, revision = batch.revision, rows = batch.changes.len();
+        "changes received"
+    );
+}
+
 /// Logs changes to configuration, evacuations and upstreams; `from` is their source.
 pub fn catalogue_events(events: &[Event], from: &str) {
     for event in events {
