Serve a full listing to peers that are older than one's own listing

Callers saw 200s from upstreams that had left: with release, restarts and kills together, one VM kept an upstream for good that all others had removed.

Cause: a listing has no removed rows, but the catalogue went on to serve differences from revisions before it. A peer that fetched from a VM which had started after a removal took over its revision without the removal.

A full listing now marks all changes up to its revision as unknown. Differences are served from that revision on only; whoever is older gets all rows and finds the removals itself.

--- a/components/steering/src/catalogue/state.rs
+++ b/components/steering/src/catalogue/state.rs
@@ -33,7 +33,8 @@
     /// Whether a full listing was received.
     listed: bool,
     rows: HashMap<Arc<str>, Change>,
-    /// Removals up to this revision may have been dropped.
+    /// Changes up to this revision may be unknown: they were made before a full listing, which has
+    /// no removed rows, or their removals were dropped.
     compacted: u64,
 }
 
@@ -106,7 +107,7 @@
     }
 
     /// The changes of `feed` after revision `after`, for a peer; a full listing if some removals
-    /// since then were dropped.
+    /// since then are unknown here.
     pub fn changes_since(&self, feed: Feed, after: u64) -> Batch {
         let rows = self.rows(feed);
         let full = after < rows.compacted || after == 0;
@@ -250,7 +251,10 @@
             changed.push((change, before));
         }
         self.revision = self.revision.max(batch.revision);
-        self.listed |= batch.full;
+        if batch.full {
+            self.listed = true;
+            self.compacted = self.compacted.max(batch.revision);
+        }
         self.compact();
         changed
     }
