Test that fails: a VM whose readers are cut off learns too late

In a fleet of more than 16 VMs most VMs rely on three readers a region. When these lose the store, the others read it themselves only after 5 s without a confirmation, more than any drain bound in use (2 to 4 s). The bound was kept only as long as the random dissemination of heartbeats happened to be fast.

20 gateways on loopback, readers cut off, then an upstream removed: the test fails on this commit.

--- a/components/gateway/tests/world/store.rs
+++ b/components/gateway/tests/world/store.rs
@@ -23,6 +23,10 @@
     /// The history up to this revision is dropped.
     dropped_until: Cell<u64>,
     calls: Cell<usize>,
+    /// VMs whose requests in flight fail as well.
+    cut_off: RefCell<HashSet<Arc<str>>>,
+    /// VMs that made a request since [`Store::forget_callers`].
+    callers: RefCell<HashSet<Arc<str>>>,
     /// The requested wait of each poll.
     waits: RefCell<Vec<Millis>>,
 }
@@ -55,8 +59,15 @@
         self.rejected.borrow_mut().insert(vm.into());
     }
 
+    /// Fails the requests of `vm`, also those that wait for changes.
+    pub fn cut_off(&self, vm: &str) {
+        self.reject(vm);
+        self.cut_off.borrow_mut().insert(vm.into());
+    }
+
     pub fn accept(&self, vm: &str) {
         self.rejected.borrow_mut().remove(vm);
+        self.cut_off.borrow_mut().remove(vm);
     }
 
     /// Drops the history, so that followers have to list again.
@@ -68,6 +79,14 @@
         self.calls.get()
     }
 
+    pub fn callers(&self) -> HashSet<Arc<str>> {
+        self.callers.borrow().clone()
+    }
+
+    pub fn forget_callers(&self) {
+        self.callers.borrow_mut().clear();
+    }
+
     pub fn waits(&self) -> Vec<Millis> {
         self.waits.borrow().clone()
     }
@@ -96,6 +115,7 @@
 impl Connection {
     fn check_access(&self) -> Result<(), Error> {
         self.store.calls.set(self.store.calls.get() + 1);
+        self.store.callers.borrow_mut().insert(Arc::clone(&self.vm));
         match self.store.rejected.borrow().contains(&self.vm) {
             true => Err(Error::new(Kind::PlatformDown, "rejected by the test")),
             false => Ok(()),
@@ -117,6 +137,9 @@
         self.check_access()?;
         let called = std::time::Instant::now();
         loop {
+            if self.store.cut_off.borrow().contains(&self.vm) {
+                return Err(Error::new(Kind::PlatformDown, "cut off by the test"));
+            }
             if after < self.store.dropped_until.get() {
                 return Ok(Update::RelistRequired);
             }
