Bound the age of each VM's copy of the store's feeds

Cause: in large fleets most VMs rely on heartbeats of random peers. A VM that heard of nothing read the store after 5 s, longer than any drain bound in use, so that requests went to upstreams that had left whenever the readers were lost. A VM that had just started also confirmed copies that lacked removals from before its start.

Change: the age of a copy decides. From a quarter of the bound on a VM asks a reader of its region, from half of it on it reads the store. Heartbeats carry, in a part that earlier versions don't read, the revision after which the sender knows all changes; only such a sender confirms a copy. Ages include the time on the way. Polls wait shorter, a silent connection is given up 0.5 s after the wait and tried again at once. The operators' feed has its own bound, from config_apply and evacuate.

--- a/components/gateway/src/changes.rs
+++ b/components/gateway/src/changes.rs
@@ -12,11 +12,12 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use steering::catalogue::{Batch, Feed};
+use steering::readers::Role;
 
-/// A VM that received a response of the store within this time doesn't ask peers: the change
+/// A reader that received a response of the store within this time doesn't ask peers: the change
 /// reaches it from the store within a fraction of this.
 const STORE_RESPONSE_VALIDITY: Millis = Millis(700);
-/// How long a VM that reads from the store itself waits for a change that a peer already has.
+/// How long a reader waits for the store to send a change that a peer already has.
 const STORE_READ_DELAY: Millis = Millis(300);
 /// Time for a complete request to a peer.
 const REQUEST_TIMEOUT: Millis = Millis(800);
@@ -57,35 +58,48 @@
     }
 }
 
-/// Fetches missed changes from peers, with one request at a time.
+/// Fetches missed changes from peers, with one request for each feed at a time.
 #[derive(Default)]
 pub struct Puller {
-    is_fetching: Cell<bool>,
+    is_fetching: [Cell<bool>; 2],
 }
 
 impl Puller {
-    /// Fetches from a peer with a newer revision, unless the store has responded a short time ago
-    /// or a request is in flight.
+    /// Fetches from a peer with a newer revision, unless the changes are likely to come from
+    /// elsewhere or a request is in flight.
     pub fn pull(self: &Rc<Puller>, core: &Rc<Core>, newer: NewerRevision) {
-        let now = core.clock.now();
-        let response = core.last_store_response(newer.feed);
-        if self.is_fetching.get() || response.is_some_and(|at| now < at + STORE_RESPONSE_VALIDITY) {
+        let feed = newer.feed;
+        if self.is_fetching[feed as usize].get() || is_expected_elsewhere(core, &newer) {
             return;
         }
-        self.is_fetching.set(true);
+        self.is_fetching[feed as usize].set(true);
         let (puller, core) = (Rc::clone(self), Rc::clone(core));
         tokio::task::spawn_local(async move {
-            if core.is_store_reader(newer.feed) && core.catalogue.borrow().is_listed(newer.feed) {
+            if core.role(feed) == Role::Reader && core.catalogue.borrow().is_listed(feed) {
                 core.clock.sleep(STORE_READ_DELAY).await;
             }
-            if core.catalogue.borrow().revision(newer.feed) < newer.revision {
+            if core.catalogue.borrow().revision(feed) < newer.revision {
                 fetch(&core, newer).await;
             }
-            puller.is_fetching.set(false);
+            puller.is_fetching[feed as usize].set(false);
         });
     }
 }
 
+/// Whether the changes will come from the store, or from a peer that needs no full listing.
+fn is_expected_elsewhere(core: &Core, newer: &NewerRevision) -> bool {
+    if !core.catalogue.borrow().is_listed(newer.feed) {
+        return false;
+    }
+    let is_reader = core.role(newer.feed) == Role::Reader;
+    let response = core.last_store_response(newer.feed);
+    let follows_store =
+        is_reader && response.is_some_and(|at| core.clock.now() < at + STORE_RESPONSE_VALIDITY);
+    let limit = core.staleness_limits(newer.feed).ask;
+    let is_recent = core.confirmed_age(newer.feed).is_some_and(|age| age < limit);
+    follows_store || (newer.full && is_recent)
+}
+
 async fn fetch(core: &Core, newer: NewerRevision) {
     let after = {
         let catalogue = core.catalogue.borrow();
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -5,14 +5,16 @@
 use clock::{Clock, Millis};
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use steering::catalogue::{Batch, Catalogue, Feed};
 use steering::cross_region::Limiter;
 use steering::membership::{Member, Members};
-use steering::readers;
+use steering::readers::{self, Role};
 use steering::retry_budget::{Budget, Limits};
 use steering::routing::{Splitter, Table};
+use steering::staleness::{Limits as StalenessLimits, TRANSIT};
 use steering::uptime::Uptime;
 use tokio::sync::{Notify, watch};
 
@@ -228,13 +230,17 @@
         }
     }
 
-    /// Records that the store responded for `feed`.
-    pub fn record_store_response(&self, feed: Feed) {
+    /// Records that the store responded for `feed`, with its changes up to `revision`.
+    pub fn record_store_response(&self, feed: Feed, revision: u64) {
+        let now = self.clock.now();
         let mut responses = self.last_store_response.get();
-        responses[feed as usize] = Some(self.clock.now());
+        responses[feed as usize] = Some(now);
         self.last_store_response.set(responses);
-        self.confirm(feed, self.clock.now());
-        self.merge_store_uptime(Uptime::at(self.clock.now()));
+        // A response that is older than the known changes is out of date.
+        if revision >= self.catalogue.borrow().revision(feed) {
+            self.confirm(feed, now - TRANSIT);
+        }
+        self.merge_store_uptime(Uptime::at(now));
     }
 
     /// Merges a span in which the store responded to this VM or a peer. An entry that vanishes
@@ -266,20 +272,56 @@
         self.confirmed.get()[feed as usize].map(|when| self.clock.now() - when)
     }
 
-    /// Whether this VM reads `feed` from the store, rather than only from peers.
-    pub fn is_store_reader(&self, feed: Feed) -> bool {
+    /// The ages of this VM's copy of `feed` at which it acts.
+    pub fn staleness_limits(&self, feed: Feed) -> StalenessLimits {
+        let bounds = self.settings().bounds;
+        StalenessLimits::new(match feed {
+            Feed::Operators => bounds.configuration,
+            Feed::Upstreams => bounds.drain,
+        })
+    }
+
+    /// Time until this VM's copy of `feed` has the given age, unless it is confirmed before.
+    pub fn time_until_age(&self, feed: Feed, age: Millis) -> Millis {
+        self.confirmed_age(feed).map_or(Millis::ZERO, |current| age - current)
+    }
+
+    /// How this VM gets the changes of `feed`.
+    pub fn role(&self, feed: Feed) -> Role {
         if !self.catalogue.borrow().is_listed(feed) {
-            return true;
+            return Role::Reader;
         }
         let now = self.clock.now();
-        let settings = self.settings();
         let members = self.members.borrow();
-        let in_region = members.alive(now).filter(|member| {
+        let in_region = self.alive_in_region(&members, now);
+        let in_region = in_region.iter().map(|member| member.vm.as_ref());
+        let fleet = members.alive(now).count() + 1;
+        let limits = self.staleness_limits(feed);
+        readers::role(&self.settings().vm, in_region, fleet, self.confirmed_age(feed), limits)
+    }
+
+    /// How long a request of this VM for changes of `feed` waits for them.
+    pub fn poll_wait(&self, feed: Feed) -> Millis {
+        let fleet = self.members.borrow().alive(self.clock.now()).count() + 1;
+        readers::poll_wait(fleet, self.staleness_limits(feed), self.settings().bounds.settling)
+    }
+
+    /// The heartbeat addresses of the readers of this VM's region.
+    pub fn reader_addresses(&self) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let in_region = self.alive_in_region(&members, self.clock.now());
+        let names = readers::readers(in_region.iter().map(|member| member.vm.as_ref()));
+        let readers = in_region.iter().filter(|member| names.contains(&member.vm.as_ref()));
+        readers.map(|member| member.heartbeats).collect()
+    }
+
+    /// The other live VMs of this VM's region.
+    fn alive_in_region<'a>(&self, members: &'a Members, now: Millis) -> Vec<&'a Member> {
+        let settings = self.settings();
+        let is_near = |member: &&Member| {
             settings.regions.get(&member.domain).is_some_and(|region| *region == settings.region)
-        });
-        let in_region = in_region.map(|member| member.vm.as_ref());
-        let vms = members.alive(now).count() + 1;
-        readers::is_reader(&settings.vm, in_region, vms, self.confirmed_age(feed))
+        };
+        members.alive(now).filter(is_near).collect()
     }
 
     /// When the store last responded to this VM for `feed`.
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -1,15 +1,26 @@
 //! Follows the feeds of the store with long polls.
 
 use crate::core::{Core, Origin};
-use crate::{Source, Update};
+use crate::{Poll, Source, Update};
 use clock::Millis;
 use rand::RngExt;
 use std::rc::Rc;
 use steering::catalogue::Feed;
+use steering::readers::Role;
 
-/// How long a poll waits for changes. A silent connection is noticed only after it, so it is
-/// shorter than the settling time that the guarantees allow after a disturbance.
-const POLL_WAIT: Millis = Millis(2_000);
+/// A poll waits for less than the longest time, by up to this part of it as a divisor, at random:
+/// readers whose polls ended with the same change must not all confirm their copies at the same
+/// moments from then on.
+const POLL_JITTER_DIVISOR: u64 = 4;
+/// How long the poll of a VM with an old copy waits: it needs the state of this moment.
+const REFRESH_WAIT: Millis = Millis(1);
+/// Time for the response to a poll. A silent connection must be replaced soon enough to keep the
+/// drain bound.
+const RESPONSE_TIMEOUT: Millis = Millis(500);
+/// Time for the response after a failure, as the store may be slow.
+const RESPONSE_TIMEOUT_AFTER_FAILURE: Millis = Millis(1_000);
+/// How often a VM that relies on its peers checks whether it became a reader.
+const ROLE_CHECK_INTERVAL: Millis = Millis(500);
 /// How long a poll waits after a failed one: a poll that was sent during an outage gets no
 /// response, and must not delay for long that the recovered store is noticed.
 const POLL_WAIT_AFTER_FAILURE: Millis = Millis(100);
@@ -18,7 +29,8 @@
 /// For upstreams, which join and leave in long series, the delay is the drain bound divided by
 /// this. The rest of the bound is for dissemination among VMs and for requests in flight.
 const DRAIN_DIVISOR: u64 = 8;
-/// Delay after a failed poll, with a jitter of up to half of it.
+/// Delay after a failed poll, with a jitter of up to half of it. The first failure may be that of
+/// a connection which went silent, so that the next poll follows at once.
 const RETRY_DELAY: Millis = Millis(400);
 
 /// Follows `feed` until the process ends.
@@ -26,22 +38,20 @@
     let mut listed = false;
     let mut failing = false;
     loop {
-        if listed && !core.is_store_reader(feed) {
-            core.clock.sleep(BATCH_DELAY).await;
+        let role = if listed { core.role(feed) } else { Role::Reader };
+        if role == Role::Follower {
+            let until_old = core.time_until_age(feed, core.staleness_limits(feed).read);
+            core.clock.sleep(until_old.min(ROLE_CHECK_INTERVAL)).await;
             continue;
         }
         let result = match listed {
             false => source.list(feed).await.map(Update::Changes),
-            true => {
-                let after = core.catalogue.borrow().revision(feed);
-                let wait = if failing { POLL_WAIT_AFTER_FAILURE } else { POLL_WAIT };
-                source.follow(feed, after, wait).await
-            }
+            true => source.follow(feed, next_poll(&core, feed, role, failing)).await,
         };
         match result {
             Ok(Update::Changes(batch)) => {
                 mark_reachable(feed, &mut failing);
-                core.record_store_response(feed);
+                core.record_store_response(feed, batch.revision);
                 listed = true;
                 let is_empty = batch.changes.is_empty();
                 core.apply(batch, &Origin::Store);
@@ -63,15 +73,30 @@
                         target: "store", feed = feed.as_str(), cause:% = error;
                         "store is unreachable; using the known state"
                     );
+                } else {
+                    let jitter = rand::rng().random_range(0..=RETRY_DELAY.0 / 2);
+                    core.clock.sleep(RETRY_DELAY + Millis(jitter)).await;
                 }
                 failing = true;
-                let jitter = rand::rng().random_range(0..=RETRY_DELAY.0 / 2);
-                core.clock.sleep(RETRY_DELAY + Millis(jitter)).await;
             }
         }
     }
 }
 
+fn next_poll(core: &Core, feed: Feed, role: Role, failing: bool) -> Poll {
+    let after = core.catalogue.borrow().revision(feed);
+    let (wait, timeout) = match (failing, role) {
+        (true, _) => (POLL_WAIT_AFTER_FAILURE, RESPONSE_TIMEOUT_AFTER_FAILURE),
+        (false, Role::Reader) => {
+            let longest = core.poll_wait(feed);
+            let jitter = rand::rng().random_range(0..=longest.0 / POLL_JITTER_DIVISOR);
+            (longest - Millis(jitter), RESPONSE_TIMEOUT)
+        }
+        (false, Role::Refresher | Role::Follower) => (REFRESH_WAIT, RESPONSE_TIMEOUT),
+    };
+    Poll { after, wait, timeout }
+}
+
 fn batch_delay(core: &Core, feed: Feed) -> Millis {
     match feed {
         Feed::Operators => BATCH_DELAY,
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -51,7 +51,6 @@
     let object = head.headers.get(names.object).cloned().unwrap_or_default();
     let reply = handle(core, head, body, id.clone(), arrived, budget, &mut progress).await;
     let now = core.clock.now();
-    let last_response = core.last_store_response(Feed::Upstreams);
     reporting::request_completed(&reporting::RequestRecord {
         request: std::str::from_utf8(&id).unwrap_or_default(),
         object: std::str::from_utf8(&object).unwrap_or_default(),
@@ -64,7 +63,7 @@
         took: now - arrived,
         budget,
         version: progress.version,
-        age: last_response.map(|at| now - at),
+        age: core.confirmed_age(Feed::Upstreams),
     });
     reply
 }
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -14,6 +14,8 @@
 use steering::catalogue::Feed;
 use steering::membership::{Member, Summary};
 use steering::pressure::Pressure;
+use steering::readers::Role;
+use steering::staleness::{Claim, Standing};
 use steering::uptime::Uptime;
 use tokio::net::UdpSocket;
 
@@ -32,6 +34,8 @@
 /// Up to this number of live peers, every round also sends to the seeds; with more, every eighth
 /// does on average.
 const FEW_PEERS: usize = 1;
+/// Time between two questions to readers. An answer comes within about half of it.
+const ASK_INTERVAL: Millis = Millis(250);
 const MAX_DATAGRAM_BYTES: usize = 4_096;
 
 /// A heartbeat.
@@ -49,6 +53,20 @@
     contact: Option<(u64, u64)>,
 }
 
+/// What follows a [`Heartbeat`] in the same datagram. VMs of earlier versions don't read it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Extension {
+    /// The sender knows all changes of each feed after these revisions.
+    complete_after: [u64; 2],
+    /// Whether the sender asks for a heartbeat in return.
+    asks: bool,
+}
+
+impl Extension {
+    /// What is assumed of a sender that doesn't say.
+    const NONE: Extension = Extension { complete_after: [u64::MAX; 2], asks: false };
+}
+
 /// A revision that a peer has and this VM lacks.
 #[derive(Clone, Debug)]
 pub struct NewerRevision {
@@ -60,6 +78,8 @@
     pub feed: Feed,
     /// The newest revision that the peer has.
     pub revision: u64,
+    /// Whether the peer can send only a full listing.
+    pub full: bool,
 }
 
 /// Sends heartbeats until the process ends.
@@ -95,14 +115,37 @@
     alive.shuffle(&mut rand::rng());
     alive.truncate(FULL_MEMBERS);
     let summaries = core.members.borrow().summaries(SUMMARIES, now, &mut rand::rng());
-    let bytes = encode(core, alive, &summaries);
+    let bytes = encode(core, alive, &summaries, false);
     for target in targets {
-        if let Err(error) = socket.send_to(&bytes, target).await {
-            log::debug!(
-                target: "heartbeat", cause:% = error;
-                "can't send a heartbeat; the next round follows"
-            );
+        send_to(socket, &bytes, target).await;
+    }
+}
+
+/// Asks a reader of the region for a heartbeat whenever a copy of this VM has not been confirmed
+/// for a while, until the process ends: heartbeats go to random VMs, and may leave one out for
+/// several rounds.
+pub async fn ask_readers(core: Rc<Core>, socket: Rc<UdpSocket>) {
+    loop {
+        let due = Feed::ALL.map(|feed| core.time_until_age(feed, core.staleness_limits(feed).ask));
+        let due = due.into_iter().min().unwrap_or_default();
+        if due > Millis::ZERO {
+            core.clock.sleep(due).await;
+            continue;
         }
+        let is_follower = Feed::ALL.into_iter().any(|feed| core.role(feed) != Role::Reader);
+        if is_follower && let Some(reader) = core.reader_addresses().choose(&mut rand::rng()) {
+            send_to(&socket, &encode(&core, Vec::new(), &[], true), *reader).await;
+        }
+        core.clock.sleep(ASK_INTERVAL).await;
+    }
+}
+
+async fn send_to(socket: &UdpSocket, bytes: &[u8], target: SocketAddr) {
+    if let Err(error) = socket.send_to(bytes, target).await {
+        log::debug!(
+            target: "heartbeat", cause:% = error;
+            "can't send a heartbeat; the next round follows"
+        );
     }
 }
 
@@ -124,11 +167,17 @@
                 continue;
             }
         };
-        match rmp_serde::from_slice::<Heartbeat>(&buffer[..length]) {
-            Ok(heartbeat) => {
-                if let Some(joined) = apply(&core, heartbeat, &on_newer) {
+        match decode(&buffer[..length]) {
+            Ok((heartbeat, extension)) => {
+                let sender = heartbeat.members.first().map(|sender| sender.heartbeats);
+                if let Some(joined) = apply(&core, heartbeat, &extension, &on_newer) {
                     send_members(&core, &socket, joined).await;
                 }
+                if extension.asks
+                    && let Some(sender) = sender
+                {
+                    send_to(&socket, &encode(&core, Vec::new(), &[], false), sender).await;
+                }
             }
             Err(error) => {
                 log::debug!(
@@ -145,18 +194,17 @@
 async fn send_members(core: &Core, socket: &UdpSocket, joined: SocketAddr) {
     let alive: Vec<Member> = core.members.borrow().alive(core.clock.now()).cloned().collect();
     for members in alive.chunks(JOIN_MEMBERS) {
-        let bytes = encode(core, members.to_vec(), &[]);
-        if let Err(error) = socket.send_to(&bytes, joined).await {
-            log::debug!(
-                target: "heartbeat", cause:% = error;
-                "can't send the peers to a VM that joined; later heartbeats have them"
-            );
-        }
+        send_to(socket, &encode(core, members.to_vec(), &[], false), joined).await;
     }
 }
 
 /// Applies a heartbeat; returns the address of its sender if that was not alive before.
-fn apply<OnNewer>(core: &Core, heartbeat: Heartbeat, on_newer: &OnNewer) -> Option<SocketAddr>
+fn apply<OnNewer>(
+    core: &Core,
+    heartbeat: Heartbeat,
+    extension: &Extension,
+    on_newer: &OnNewer,
+) -> Option<SocketAddr>
 where
     OnNewer: Fn(NewerRevision),
 {
@@ -179,22 +227,43 @@
             log::info!(target: "belief", vm = vm.as_ref(); "entry VM alive");
         }
     }
-    for (feed, revision) in Feed::ALL.into_iter().zip(heartbeat.revisions) {
-        let catalogue = core.catalogue.borrow();
-        if let Some(age) = heartbeat.ages[feed as usize]
-            && revision <= catalogue.revision(feed)
-        {
-            core.confirm(feed, now - Millis(age));
-        }
-        if revision > catalogue.revision(feed) || (revision > 0 && !catalogue.is_listed(feed)) {
-            on_newer(NewerRevision { peer: Arc::clone(&peer), address, feed, revision });
+    for feed in Feed::ALL {
+        let claim = Claim {
+            newest: heartbeat.revisions[feed as usize],
+            complete_after: extension.complete_after[feed as usize],
+            age: heartbeat.ages[feed as usize].map(Millis),
+        };
+        let revision = {
+            let catalogue = core.catalogue.borrow();
+            catalogue.is_listed(feed).then(|| catalogue.revision(feed))
+        };
+        match claim.standing(revision) {
+            Standing::Confirmed(age) => core.confirm(feed, now - age),
+            Standing::Behind { full } => on_newer(NewerRevision {
+                peer: Arc::clone(&peer),
+                address,
+                feed,
+                revision: claim.newest,
+                full,
+            }),
+            Standing::Unknown => {}
         }
     }
     joined
 }
 
-/// Encodes a heartbeat with this VM, `peers` in full and `summaries`.
-fn encode(core: &Core, peers: Vec<Member>, summaries: &[Summary]) -> Vec<u8> {
+/// Decodes a datagram.
+fn decode(bytes: &[u8]) -> Result<(Heartbeat, Extension), rmp_serde::decode::Error> {
+    let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
+    let heartbeat = Heartbeat::deserialize(&mut decoder)?;
+    // VMs of earlier versions send none.
+    let extension = Extension::deserialize(&mut decoder).unwrap_or(Extension::NONE);
+    Ok((heartbeat, extension))
+}
+
+/// Encodes a heartbeat with this VM, `peers` in full and `summaries`; `asks` is whether the
+/// receiver shall send one in return.
+fn encode(core: &Core, peers: Vec<Member>, summaries: &[Summary], asks: bool) -> Vec<u8> {
     let own = {
         let mut own = core.own_member.borrow_mut();
         own.beat += 1;
@@ -211,15 +280,23 @@
     let now = core.clock.now();
     let contact = core.store_uptime.get().map(|known| ((now - known.start).0, (now - known.end).0));
     let beats = summaries.to_vec();
-    rmp_serde::to_vec(&Heartbeat { members, beats, revisions, ages, contact }).unwrap_or_else(
-        |error| {
-            log::error!(
-                target: "heartbeat", cause:% = error;
-                "can't encode a heartbeat; sending an empty datagram"
-            );
-            Vec::new()
-        },
-    )
+    let heartbeat = Heartbeat { members, beats, revisions, ages, contact };
+    let complete_after = Feed::ALL.map(|feed| match catalogue.is_listed(feed) {
+        true => catalogue.complete_after(feed),
+        false => u64::MAX,
+    });
+    let extension = Extension { complete_after, asks };
+    let mut bytes = Vec::new();
+    let encoded = rmp_serde::encode::write(&mut bytes, &heartbeat)
+        .and_then(|()| rmp_serde::encode::write(&mut bytes, &extension));
+    if let Err(error) = encoded {
+        log::error!(
+            target: "heartbeat", cause:% = error;
+            "can't encode a heartbeat; sending an empty datagram"
+        );
+        bytes.clear();
+    }
+    bytes
 }
 
 /// Removes and logs peers whose heartbeats have ceased.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -32,4 +32,4 @@
 pub use process::Gateway;
 pub use protocol::{Load, LookupQuery, Protocol, WireNames};
 pub use settings::{Bounds, Listen, Settings};
-pub use source::{Source, Update};
+pub use source::{Poll, Source, Update};
--- a/components/gateway/src/reporting.rs
+++ b/components/gateway/src/reporting.rs
@@ -32,7 +32,7 @@
     pub budget: Millis,
     /// Version of the configuration that was used, or 0.
     pub version: u64,
-    /// Time since the store last responded for upstreams; `None` if it never has.
+    /// Time since the copy of the upstreams was confirmed to be up to date; `None` if it never was.
     pub age: Option<Millis>,
 }
 
--- a/components/gateway/src/source.rs
+++ b/components/gateway/src/source.rs
@@ -12,6 +12,17 @@
     RelistRequired,
 }
 
+/// A request for changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Poll {
+    /// The revision after which changes are wanted.
+    pub after: u64,
+    /// How long the store waits for changes if there are none.
+    pub wait: Millis,
+    /// The time for the response in addition to `wait`.
+    pub timeout: Millis,
+}
+
 /// The store that holds configuration, evacuations and upstreams.
 #[async_trait(?Send)]
 pub trait Source {
@@ -22,10 +33,10 @@
     /// `PlatformDown` when the store does not respond or responds with an error.
     async fn list(&mut self, feed: Feed) -> Result<Batch, Error>;
 
-    /// Waits up to `wait` for changes of `feed` after the revision `after`.
+    /// Requests changes of `feed`.
     ///
     /// # Errors
     ///
     /// As [`Source::list`].
-    async fn follow(&mut self, feed: Feed, after: u64, wait: Millis) -> Result<Update, Error>;
+    async fn follow(&mut self, feed: Feed, poll: Poll) -> Result<Update, Error>;
 }
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -233,6 +233,7 @@
         bounds: Bounds {
             renewal_interval: Millis(1_500),
             drain: Millis(2_000),
+            configuration: Millis(2_000),
             grace: Millis(6_000),
             settling: Millis(3_000),
             lease_max: Millis(5_000),
--- a/components/steering/src/catalogue/state.rs
+++ b/components/steering/src/catalogue/state.rs
@@ -106,6 +106,11 @@
         self.rows(feed).newest
     }
 
+    /// The revision after which all changes of `feed` are known; earlier removals may not be.
+    pub fn complete_after(&self, feed: Feed) -> u64 {
+        self.rows(feed).compacted
+    }
+
     /// The changes of `feed` after revision `after`, for a peer; a full listing if some removals
     /// since then are unknown here.
     pub fn changes_since(&self, feed: Feed, after: u64) -> Batch {
--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod shift;
 mod snapshot;
 mod split;
+pub mod staleness;
 pub mod uptime;
 pub mod warmup;
 pub mod weights;
--- a/components/steering/src/readers.rs
+++ b/components/steering/src/readers.rs
@@ -1,28 +1,70 @@
 //! Selects the VMs that read from the store, so that its load doesn't grow with the fleet.
 //!
 //! A few VMs of each region read and forward changes to their peers; the others read only when
-//! their state has not been confirmed for a while. See docs/DATAPATH.md, "Readers".
+//! their copy has not been confirmed for a while. See docs/DATAPATH.md, "Readers".
 
+use crate::staleness::Limits;
 use clock::Millis;
+use std::cmp::Reverse;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// In fleets of up to this size all VMs read: they make few calls, and changes arrive sooner.
 const SMALL_FLEET: usize = 16;
 /// Readers in each region; two may fail at the same time.
 const READERS_PER_REGION: usize = 3;
-/// Time without confirmation after which a VM reads from the store itself. Readers get a response
-/// from the store every 2 s, and heartbeats forward that within about the same time.
-const MAX_UNCONFIRMED: Millis = Millis(5_000);
+/// The longest time that a request for changes waits.
+const MAX_POLL_WAIT: Millis = Millis(2_000);
 
-/// Whether `vm` reads from the store. `peers` are the other live VMs of its region, `fleet` is the
-/// number of all live VMs, and `confirmed` is the time since the state of `vm` was last confirmed.
-pub fn is_reader<'a, Vms>(vm: &str, peers: Vms, fleet: usize, confirmed: Option<Millis>) -> bool
+/// How a VM gets the changes of a feed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It follows the store's feed.
+    Reader,
+    /// Its copy is too old, so it reads the changes from the store once.
+    Refresher,
+    /// It relies on its peers.
+    Follower,
+}
+
+/// The role of `vm`. `peers` are the other live VMs of its region, `fleet` is the number of all
+/// live VMs, and `age` is the time since the copy of `vm` was last confirmed.
+pub fn role<'a, Vms>(
+    vm: &str,
+    peers: Vms,
+    fleet: usize,
+    age: Option<Millis>,
+    limits: Limits,
+) -> Role
 where
     Vms: Iterator<Item = &'a str>,
 {
-    if fleet <= SMALL_FLEET || confirmed.is_none_or(|age| age >= MAX_UNCONFIRMED) {
-        return true;
-    }
     let own = xxh3_64(vm.as_bytes());
-    peers.filter(|other| xxh3_64(other.as_bytes()) > own).count() < READERS_PER_REGION
+    if fleet <= SMALL_FLEET
+        || peers.filter(|other| xxh3_64(other.as_bytes()) > own).count() < READERS_PER_REGION
+    {
+        Role::Reader
+    } else if age.is_none_or(|age| age >= limits.read) {
+        Role::Refresher
+    } else {
+        Role::Follower
+    }
+}
+
+/// The readers among `vms`, the live VMs of a region of a large fleet.
+pub fn readers<'a, Vms>(vms: Vms) -> Vec<&'a str>
+where
+    Vms: Iterator<Item = &'a str>,
+{
+    let mut ranked: Vec<&str> = vms.collect();
+    ranked.sort_unstable_by_key(|vm| Reverse(xxh3_64(vm.as_bytes())));
+    ranked.truncate(READERS_PER_REGION);
+    ranked
+}
+
+/// How long a reader's request waits for changes. A response confirms the copies of the whole
+/// region, so in a large fleet it must come before they are old enough for questions. Everywhere,
+/// a connection that went silent must have been replaced within the settling time.
+pub fn poll_wait(fleet: usize, limits: Limits, settling: Millis) -> Millis {
+    let wait = MAX_POLL_WAIT.min(Millis(settling.0 / 2));
+    if fleet <= SMALL_FLEET { wait } else { wait.min(limits.ask) }
 }
--- /dev/null
+++ b/components/steering/src/staleness.rs
@@ -0,0 +1,80 @@
+//! How old a VM's copy of a feed may become, and what heartbeats tell about it.
+//!
+//! Changes must be in force on every VM within a bound after the store accepted them. A VM whose
+//! copy was confirmed to be up to date at some moment knows all changes up to then, so it keeps the
+//! bound by acting on the age of that confirmation, whatever dissemination does. See
+//! docs/DATAPATH.md, "Age of a copy".
+
+use clock::Millis;
+
+/// Time that a response of the store or a heartbeat may have been on its way. The sender can't
+/// count it, so the receiver adds it to the age of the confirmation.
+pub const TRANSIT: Millis = Millis(100);
+
+/// The part of the bound, as a divisor, after which a VM asks a reader.
+const ASK_DIVISOR: u64 = 4;
+/// The part of the bound, as a divisor, after which a VM reads from the store. The rest is for the
+/// read, for a retry on a new connection, and for requests on their way to an upstream.
+const READ_DIVISOR: u64 = 2;
+
+/// The ages of a copy at which a VM acts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// From this age on, the VM asks a reader of its region for a heartbeat.
+    pub ask: Millis,
+    /// From this age on, the VM reads from the store.
+    pub read: Millis,
+}
+
+impl Limits {
+    /// The limits that keep changes in force within `bound`.
+    pub fn new(bound: Millis) -> Limits {
+        Limits { ask: Millis(bound.0 / ASK_DIVISOR), read: Millis(bound.0 / READ_DIVISOR) }
+    }
+}
+
+/// What a heartbeat tells about the sender's copy of a feed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Revision of the newest change that the sender knows, or 0 if it has no copy.
+    pub newest: u64,
+    /// The sender knows all changes after this revision.
+    pub complete_after: u64,
+    /// Time since the sender's copy was confirmed to be up to date.
+    pub age: Option<Millis>,
+}
+
+/// What a claim means for the receiver's copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It was up to date this long ago.
+    Confirmed(Millis),
+    /// It lacks changes.
+    Behind {
+        /// Whether the sender can send only a full listing, as it doesn't know all the changes
+        /// that the copy lacks.
+        full: bool,
+    },
+    /// The claim doesn't tell: changes that the sender doesn't know may be missing.
+    Unknown,
+}
+
+impl Claim {
+    /// What the claim means for a copy that has all changes up to `revision`; `None` if there is
+    /// no copy yet.
+    pub fn standing(&self, revision: Option<u64>) -> Standing {
+        let Some(revision) = revision else {
+            return if self.newest > 0 {
+                Standing::Behind { full: true }
+            } else {
+                Standing::Unknown
+            };
+        };
+        let is_complete = revision >= self.complete_after;
+        match self.age {
+            _ if self.newest > revision => Standing::Behind { full: !is_complete },
+            Some(age) if is_complete => Standing::Confirmed(age + TRANSIT),
+            _ => Standing::Unknown,
+        }
+    }
+}
