Announce removals that a full listing found

Cause: a VM that lists all rows again, since the store dropped its history, finds removals by what is missing, but went on to announce an older change as its newest. Peers that the store rejects never asked for them and kept the upstreams: callers got 200s from upstreams that had left.

A listing that removes rows now raises the newest revision to its own.

Measured: a_removal_found_by_a_listing_raises_the_newest_revision (2 instead of 9) and a_removal_that_a_peer_found_by_listing_ends_the_requests_to_the_upstream (timed out after 20 s) failed before and pass.

--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -105,6 +105,24 @@
     .await;
 }
 
+/// Guards against requests to upstreams that have left: a VM that the store rejects never heard of
+/// a removal which its peer had found by listing all rows, as the store had dropped its history.
+#[tokio::test]
+async fn a_removal_that_a_peer_found_by_listing_ends_the_requests_to_the_upstream() {
+    run_test(async |world| {
+        let (_upstream, a) = world.serving().await;
+        let seed = a.heartbeats();
+        let b = world.gateway_with("b", |settings| settings.seeds = vec![seed]).await;
+        b.await_ready().await;
+        world.store.cut_off("b");
+        world.store.remove(Feed::Upstreams, "u1");
+        world.store.drop_history();
+        let mut caller = b.connect().await;
+        until(async || caller.request(&get("/read/1", "r")).await.unwrap().status == 503).await;
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn look_ups_return_the_ready_vms_of_the_region() {
     run_test(async |world| {
--- a/components/steering/src/catalogue/state.rs
+++ b/components/steering/src/catalogue/state.rs
@@ -277,6 +277,9 @@
             change.revision = batch.revision;
             changed.push((change.clone(), Some(before)));
         }
+        if !changed.is_empty() {
+            self.newest = self.newest.max(batch.revision);
+        }
         changed
     }
 
--- a/components/steering/tests/catalogue.rs
+++ b/components/steering/tests/catalogue.rs
@@ -214,6 +214,19 @@
     assert_eq!(ids(&catalogue), ["a", "b", "d"]);
 }
 
+/// Guards against removals that peers never ask for: a VM that found one by listing all rows went
+/// on to announce the revision of an older change as its newest.
+#[test]
+fn a_removal_found_by_a_listing_raises_the_newest_revision() {
+    let mut catalogue = with_two();
+    let row = change("b", 2, upstream("b", 1, Readiness::Ready));
+    catalogue.apply(batch(Feed::Upstreams, true, 9, vec![row.clone()]), NOW, RETENTION);
+    assert_eq!(catalogue.newest_revision(Feed::Upstreams), 9);
+    // A listing without a removal has nothing to announce.
+    catalogue.apply(batch(Feed::Upstreams, true, 12, vec![row]), NOW, RETENTION);
+    assert_eq!(catalogue.newest_revision(Feed::Upstreams), 9);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     /// The store's next changes.
