Tests that fail: bytes without end, and bytes before a request

The tests cover heads, bodies, interim and other responses, statements, idle connections and bytes before a request, fast and slow, for the answer to the caller, the time, the bytes taken and the closed connection.

--- a/components/gateway/tests/world/upstream.rs
+++ b/components/gateway/tests/world/upstream.rs
@@ -45,6 +45,10 @@
     StrayLast,
     /// Responds without a length, and closes the connection at the end.
     Unframed,
+    /// Sends the first bytes, and then the others again and again until the connection is closed.
+    Endless { first: &'static str, again: &'static str, pause: Millis },
+    /// Responds, and after a pause sends bytes until the connection is closed.
+    EndlessLater(Millis),
 }
 
 /// A request that the upstream began to execute.
@@ -65,6 +69,12 @@
     completed: RefCell<Vec<String>>,
     connections: std::cell::Cell<usize>,
     resets: std::cell::Cell<usize>,
+    /// Connections on which it sends bytes without end.
+    flooding: std::cell::Cell<usize>,
+    /// Bytes that it could send so.
+    flooded: std::cell::Cell<u64>,
+    /// What it sends as soon as a connection is opened.
+    greeting: RefCell<Vec<u8>>,
 }
 
 impl Standin {
@@ -79,6 +89,9 @@
             completed: RefCell::default(),
             connections: std::cell::Cell::default(),
             resets: std::cell::Cell::default(),
+            flooding: std::cell::Cell::default(),
+            flooded: std::cell::Cell::default(),
+            greeting: RefCell::default(),
         });
         let shared = Rc::clone(&standin);
         tokio::task::spawn_local(async move {
@@ -125,7 +138,26 @@
         self.connections.get()
     }
 
-    async fn serve(self: Rc<Standin>, stream: TcpStream) {
+    /// The number of connections on which it still sends bytes without end.
+    pub fn flooding(&self) -> usize {
+        self.flooding.get()
+    }
+
+    /// The number of bytes without end that were taken from it.
+    pub fn flooded(&self) -> u64 {
+        self.flooded.get()
+    }
+
+    /// Sends `bytes` on each new connection, before any request.
+    pub fn greet(&self, bytes: &[u8]) {
+        *self.greeting.borrow_mut() = bytes.to_vec();
+    }
+
+    async fn serve(self: Rc<Standin>, mut stream: TcpStream) {
+        let greeting = self.greeting.borrow().clone();
+        if stream.write_all(&greeting).await.is_err() {
+            return;
+        }
         let mut reader = Reader::new(stream);
         while let Ok(head) = reader.request(16_384).await {
             let Ok(body) = reader.body(10_000_000).await else {
@@ -200,7 +232,30 @@
                 write(reader, head.as_bytes()).await;
                 false
             }
+            Behaviour::Endless { first, again, pause } => {
+                write(reader, first.replace("{id}", &id).as_bytes()).await;
+                self.flood(reader, again, pause).await;
+                false
+            }
+            Behaviour::EndlessLater(pause) => {
+                write(reader, &signed_response(200, &id, &body)).await;
+                tokio::time::sleep(pause.duration()).await;
+                self.flood(reader, "noise", Millis::ZERO).await;
+                false
+            }
+        }
+    }
+
+    /// Sends `bytes` again and again, with `pause` between, until the connection is closed.
+    async fn flood(&self, reader: &mut Reader<TcpStream>, bytes: &str, pause: Millis) {
+        let repeats = if pause == Millis::ZERO { 1_024 / bytes.len() + 1 } else { 1 };
+        let bytes = bytes.repeat(repeats);
+        self.flooding.set(self.flooding.get() + 1);
+        while write(reader, bytes.as_bytes()).await {
+            self.flooded.set(self.flooded.get() + bytes.len() as u64);
+            tokio::time::sleep(pause.duration()).await;
         }
+        self.flooding.set(self.flooding.get() - 1);
     }
 
     /// Executes for `span`; returns false if the connection was closed meanwhile.
