Limit the interim responses before a final one

Cause: the reader skipped interim responses (1xx) as long as they came. An upstream that sends them without end held the request until its deadline: callers got 504 where another upstream could have served them.

After eight interim responses the ninth is malformed, as other bytes that are no response: a read goes to the next upstream, an order ends with 502.

--- a/components/http1/src/reader.rs
+++ b/components/http1/src/reader.rs
@@ -7,6 +7,8 @@
 
 /// Buffer space for one read; small, since thousands of connections are open at a time.
 const READ_BYTES: usize = 4 * 1024;
+/// Interim responses before a final one; a server has no reason to send more than a few.
+const MAX_INTERIM_RESPONSES: usize = 8;
 /// The longest line that gives a chunk's size.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// The most bytes of trailers after the last chunk.
@@ -104,13 +106,14 @@
     /// Every [`Error`] but [`Error::BodyTooLarge`].
     pub async fn response(&mut self, method: &[u8], limit: usize) -> Result<Response, Error> {
         self.wait().await?;
-        loop {
+        for _ in 0..=MAX_INTERIM_RESPONSES {
             let head = self.head(limit, |bytes| Response::parse(bytes, method)).await?;
             if head.status >= 200 {
                 self.body = Progress::of(head.framing);
                 return Ok(head);
             }
         }
+        Err(Error::Malformed { reason: "too many interim responses" })
     }
 
     /// The next bytes of the body, or `None` at its end.
--- a/components/http1/tests/requests.rs
+++ b/components/http1/tests/requests.rs
@@ -176,3 +176,21 @@
         prop_assert_eq!(read, body);
     }
 }
+
+/// Guards against a server that sends interim responses without end.
+#[tokio::test]
+async fn a_few_interim_responses_are_skipped_and_many_are_malformed() {
+    let bytes = |interim: usize| {
+        let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(interim);
+        (interim + "HTTP/1.1 204 No Content\r\n\r\n").into_bytes()
+    };
+    for (interim, accepted) in [(0, true), (1, true), (8, true), (9, false), (10_000, false)] {
+        let bytes = bytes(interim);
+        let response = Reader::new(&bytes[..]).response(b"GET", HEAD).await;
+        let status = response.as_ref().map(|response| response.status);
+        match accepted {
+            true => assert_eq!(status.unwrap(), 204, "{interim}"),
+            false => assert_eq!(kind(&response.unwrap_err()), "malformed", "{interim}"),
+        }
+    }
+}
