Stop skipping a response to another request that doesn't end

Cause: a late response to an earlier request on a kept connection was skipped to its end, however long that took. A body without end held the request behind it until its deadline: callers got 504 where another upstream could have served them.

The rest of such a response may have 256 KB and take 250 ms; then the connection is closed, a read goes to the next upstream, an order ends with 502.

Measured: a_read_is_retried_when_no_response_can_come_of_the_bytes and an_order_that_got_no_response_has_an_unknown_outcome failed with 504 and pass.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -17,6 +17,11 @@
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 /// Responses to earlier requests that are skipped on one connection.
 const MAX_STRAY_RESPONSES: usize = 3;
+/// Bytes of a response's body that are discarded to go on with its connection.
+const MAX_SKIPPED_BYTES: u64 = 256 * 1024;
+/// Time for these bytes. A response to an earlier request is complete, or nearly so, when the next
+/// one is read.
+const SKIP_TIMEOUT: Millis = Millis(250);
 /// Time to wait for the response beyond the deadline: an upstream that rejects the request at the
 /// deadline states whether it was executed.
 const DEADLINE_MARGIN: Millis = Millis(40);
@@ -126,7 +131,10 @@
             return Ok(response);
         }
         metrics::counter!(telemetry::names::STRAY_RESPONSES).increment(1);
-        while reader.data().await?.is_some() {}
+        let skipping = reader.skip(MAX_SKIPPED_BYTES);
+        tokio::time::timeout(SKIP_TIMEOUT.duration(), skipping)
+            .await
+            .unwrap_or(Err(Error::Malformed { reason: "a response to another request goes on" }))?;
         if !response.keep_alive {
             return Err(Error::Closed);
         }
--- a/components/http1/src/reader.rs
+++ b/components/http1/src/reader.rs
@@ -179,6 +179,22 @@
         }
     }
 
+    /// Discards the rest of the body, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::BodyTooLarge`] and those of [`Reader::data`].
+    pub async fn skip(&mut self, limit: u64) -> Result<(), Error> {
+        let mut skipped = 0;
+        while let Some(piece) = self.data().await? {
+            skipped += piece.len() as u64;
+            if skipped > limit {
+                return Err(Error::BodyTooLarge { limit });
+            }
+        }
+        Ok(())
+    }
+
     async fn head<Head, Parse>(&mut self, limit: usize, parse: Parse) -> Result<Head, Error>
     where
         Parse: Fn(&Bytes) -> Result<Option<(Head, usize)>, Error>,
