Retry a request that was not run before the body of that statement ends

Cause: after a head that states that a request was not run, the attempt read the whole body to keep the connection. A body without end held the request until its deadline: callers got 504, for orders as well, where another upstream could have served them.

The attempt ends with the head.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -111,7 +111,7 @@
     }
     let connection = sent.then_some(Connection { reader, writer });
     if response.status == 421 || response.headers.get(names.not_run).is_some() {
-        return not_executed(core, endpoint, response, connection).await;
+        return not_executed(core, endpoint, &response, connection);
     }
     let delivery = Delivery { core, job, endpoint, in_flight };
     delivery.deliver(response, connection).await
@@ -142,18 +142,25 @@
     Err(Error::Malformed { reason: "only responses to other requests" })
 }
 
-/// Handles a response that states that the request was not executed.
-async fn not_executed(
-    core: &Core,
+/// Handles a response that states that the request was not executed. Its body says nothing more,
+/// and a retry must not wait for it.
+fn not_executed(
+    core: &Rc<Core>,
     endpoint: &Rc<Endpoint>,
-    response: Response,
+    response: &Response,
     connection: Option<Connection>,
 ) -> Outcome {
     if let Some(mut connection) = connection
         && response.keep_alive
-        && connection.reader.body(MAX_BUFFERED_BYTES as u64).await.is_ok()
     {
-        keep(core, endpoint, connection, idle_timeout(&response.headers));
+        let (core, endpoint) = (Rc::clone(core), Rc::clone(endpoint));
+        let idle_timeout = idle_timeout(&response.headers);
+        tokio::task::spawn_local(async move {
+            let skipping = connection.reader.skip(MAX_SKIPPED_BYTES);
+            if matches!(tokio::time::timeout(SKIP_TIMEOUT.duration(), skipping).await, Ok(Ok(()))) {
+                keep(&core, &endpoint, connection, idle_timeout);
+            }
+        });
     }
     match response.status {
         421 => Outcome::Failed(Cause::Misdirected),
