End a streamed body at the deadline of its request

Cause: a body over 256 KB was passed on for up to 30 s, whatever time the request had. One without end kept the caller's and the upstream's connection, and a slot there, long after the caller's deadline and the route's timeout.

The stream ends 40 ms after the earlier of both, as the wait for a response does. The caller's response then has no end, so that it doesn't look complete.

Measured: a_body_without_end_is_broken_off_at_the_deadline, chunked and without a length, did not end within 1.1 s of a deadline of 0.6 s, and passes.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -27,8 +27,6 @@
 const DEADLINE_MARGIN: Millis = Millis(40);
 /// Pieces of a streamed body that are buffered for the caller.
 const MAX_BUFFERED_PIECES: usize = 4;
-/// Time to stream the rest of a body.
-const STREAM_TIMEOUT: Millis = Millis::from_secs(30);
 
 /// A caller's complete request.
 #[derive(Debug)]
@@ -224,12 +222,13 @@
         let status = response.status;
         let (core, endpoint) = (Rc::clone(self.core), Rc::clone(self.endpoint));
         let in_flight = self.in_flight;
+        let remaining = self.job.deadline - core.clock.now() + DEADLINE_MARGIN;
         tokio::task::spawn_local(async move {
             let copying = copy_body(&core, &endpoint, &response, connection, first, sender);
-            if tokio::time::timeout(STREAM_TIMEOUT.duration(), copying).await.is_err() {
+            if tokio::time::timeout(remaining.duration(), copying).await.is_err() {
                 log::warn!(
                     target: "attempt", upstream = endpoint.entry.id.as_ref();
-                    "response body not complete in time; closing both connections"
+                    "response body not complete at the deadline; closing both connections"
                 );
             }
             drop(in_flight);
