Close idle connections on which an upstream sends

Cause: idle connections to an upstream were looked at when the next request took one. What an upstream sent without end after a whole response stayed in the receive buffer, and the connection open, for as long as no request came; expired ones as well.

Twice a second idle connections are closed that expired, that the upstream closed, or on which bytes came. The check reads from those only that have something to read.

--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -2,10 +2,12 @@
 
 use crate::core::Core;
 use crate::endpoint::Endpoint;
+use crate::pool::Pool;
 use clock::Millis;
 use http1::net::Timeouts;
 use http1::{Headers, Reader, net};
 use std::io;
+use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
@@ -16,6 +18,10 @@
 /// time is broken.
 const SILENCE_TIMEOUT: Millis = Millis(3_000);
 
+/// How often idle connections are checked. Until then, what an upstream sends on one fills its
+/// receive buffer.
+const IDLE_CHECK_INTERVAL: Millis = Millis(500);
+
 /// A connection to an upstream.
 #[derive(Debug)]
 pub struct Connection {
@@ -85,6 +91,17 @@
     Some(Connection { reader: Reader::new(read), writer: Writer(Some(writer)) })
 }
 
+/// Closes idle connections that can't be used again, until the process ends.
+pub async fn close_unusable(core: Rc<Core>) {
+    loop {
+        core.clock.sleep(IDLE_CHECK_INTERVAL).await;
+        let endpoints = core.upstreams.borrow().with_idle_connections();
+        for endpoint in endpoints {
+            Pool::close_unusable(&endpoint.pool, core.clock.now()).await;
+        }
+    }
+}
+
 /// Returns a connection to the pool for the next request.
 pub fn keep(
     core: &Core,
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::Connection;
 use clock::Millis;
+use std::cell::RefCell;
 
 /// Idle connections kept; further ones are closed when their request ends.
 const MAX_IDLE: usize = 16;
@@ -33,6 +34,26 @@
         self.idle.pop().map(|idle| idle.connection)
     }
 
+    /// Closes expired connections, those that the upstream closed, and those on which it sent
+    /// something: no request is in flight, so that it can't be a response.
+    pub async fn close_unusable(pool: &RefCell<Pool>, now: Millis) {
+        let idle = std::mem::take(&mut pool.borrow_mut().idle);
+        let mut usable = Vec::with_capacity(idle.len());
+        for mut each in idle {
+            if now < each.reuse_until && each.connection.reader.is_reusable().await {
+                usable.push(each);
+            }
+        }
+        let mut pool = pool.borrow_mut();
+        usable.append(&mut pool.idle);
+        pool.idle = usable;
+    }
+
+    /// Whether there are no connections.
+    pub fn is_empty(&self) -> bool {
+        self.idle.is_empty()
+    }
+
     /// Keeps a connection for reuse; `idle_timeout` is the one that the upstream announced.
     pub fn keep(&mut self, connection: Connection, idle_timeout: Option<Millis>, now: Millis) {
         let span = idle_timeout.map_or(DEFAULT_REUSE, |timeout| {
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -2,7 +2,10 @@
 
 use crate::changes::Puller;
 use crate::core::{self, Core, Phase};
-use crate::{Protocol, Settings, Source, changes, follow, heartbeat, inbound, lookup, simple_http};
+use crate::{
+    Protocol, Settings, Source, changes, connection, follow, heartbeat, inbound, lookup,
+    simple_http,
+};
 use clock::{Clock, Millis};
 use errors::{Error, Kind};
 use http1::net;
@@ -74,6 +77,7 @@
         for feed in Feed::ALL {
             spawn(follow::follow(Rc::clone(&core), sources(), feed));
         }
+        spawn(connection::close_unusable(Rc::clone(&core)));
         spawn(core::expire(Rc::clone(&core)));
         spawn(heartbeat::send(Rc::clone(&core), Rc::clone(&heartbeats)));
         spawn(heartbeat::ask_readers(Rc::clone(&core), Rc::clone(&heartbeats)));
--- a/components/gateway/src/upstreams.rs
+++ b/components/gateway/src/upstreams.rs
@@ -123,6 +123,12 @@
         self.shares.get(service)?.region(object, allowed, now)
     }
 
+    /// All endpoints with idle connections.
+    pub fn with_idle_connections(&self) -> Vec<Rc<Endpoint>> {
+        let idle = self.by_id.values().filter(|endpoint| !endpoint.pool.borrow().is_empty());
+        idle.cloned().collect()
+    }
+
     /// The endpoints of a service.
     pub fn of_service(&self, service: &str) -> &[Rc<Endpoint>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
