Take no bytes before a request, and none without its id, for its response

Cause: a response without a request id counted as the response to whatever request was in flight. What an upstream sent on a new connection before any request was passed on to the caller as a whole response with status 200.

Upstreams repeat the id of each request, so a response without it is malformed: a read goes to the next upstream, an order ends with 502. A new connection on which bytes came before the request is closed and nothing is sent on it.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -115,7 +115,8 @@
     delivery.deliver(response, connection).await
 }
 
-/// Reads the response to `job`, skipping responses to earlier requests on the connection.
+/// Reads the response to `job`, skipping responses to earlier requests on the connection. Upstreams
+/// repeat the id of the request, so that bytes without it are no response to any.
 async fn read_response(
     core: &Core,
     job: &Job,
@@ -124,9 +125,11 @@
     let name = core.protocol.names().request_id;
     for _ in 0..MAX_STRAY_RESPONSES {
         let response = reader.response(&job.head.method, MAX_HEAD_BYTES).await?;
-        let stray = response.headers.get(name).is_some_and(|id| id != &job.id);
-        if !stray {
-            return Ok(response);
+        match response.headers.get(name) {
+            Some(id) if id == &job.id => return Ok(response),
+            None if job.id.is_empty() => return Ok(response),
+            None => return Err(Error::Malformed { reason: "no request id" }),
+            Some(_) => {}
         }
         metrics::counter!(telemetry::names::STRAY_RESPONSES).increment(1);
         let skipping = reader.skip(MAX_SKIPPED_BYTES);
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -58,8 +58,8 @@
     }
 }
 
-/// Takes an idle connection to `endpoint`, or opens one; `None` if that fails or is not complete by
-/// `deadline`.
+/// Takes an idle connection to `endpoint`, or opens one; `None` if that fails, is not complete by
+/// `deadline`, or the upstream has sent bytes already.
 pub async fn open(core: &Core, endpoint: &Endpoint, deadline: Millis) -> Option<Connection> {
     let started = core.clock.now();
     loop {
@@ -88,7 +88,15 @@
         .ok()?;
     core.upstreams.borrow_mut().record_connect(&endpoint.region, core.clock.now() - started);
     let (read, writer) = stream.into_split();
-    Some(Connection { reader: Reader::new(read), writer: Writer(Some(writer)) })
+    let mut reader = Reader::new(read);
+    if !reader.is_reusable().await {
+        log::debug!(
+            target: "attempt", upstream = endpoint.entry.id.as_ref();
+            "upstream closed or sent bytes before the request; closing the connection"
+        );
+        return None;
+    }
+    Some(Connection { reader, writer: Writer(Some(writer)) })
 }
 
 /// Closes idle connections that can't be used again, until the process ends.
--- a/components/gateway/tests/endless.rs
+++ b/components/gateway/tests/endless.rs
@@ -111,7 +111,10 @@
 /// after its body, which never ended.
 #[tokio::test]
 async fn a_request_that_was_not_executed_is_retried_before_the_body_of_the_statement_ends() {
-    let statements = ["HTTP/1.1 503 X\r\ntest-not-run: 1\r\n", "HTTP/1.1 421 X\r\n"];
+    let statements = [
+        "HTTP/1.1 503 X\r\ntest-id: {id}\r\ntest-not-run: 1\r\n",
+        "HTTP/1.1 421 X\r\ntest-id: {id}\r\n",
+    ];
     for head in statements {
         for (framing, again) in [(CHUNKED, "1\r\nx\r\n"), ("\r\n", "x")] {
             for pause in [FAST, SLOW] {
--- a/components/gateway/tests/world/upstream.rs
+++ b/components/gateway/tests/world/upstream.rs
@@ -200,11 +200,13 @@
                 write(reader, &signed_response(200, &id, &"x".repeat(length))).await
             }
             Behaviour::Hang => self.execute(reader, head, Millis::from_secs(60)).await,
-            Behaviour::Shed => write(reader, &unsigned_response(503, "test-not-run: 1\r\n")).await,
-            Behaviour::Misdirected => write(reader, &unsigned_response(421, "")).await,
+            Behaviour::Shed => {
+                write(reader, &unsigned_response(503, &id, "test-not-run: 1\r\n")).await
+            }
+            Behaviour::Misdirected => write(reader, &unsigned_response(421, &id, "")).await,
             Behaviour::Fail => write(reader, &signed_response(500, &id, "failed")).await,
             Behaviour::Reject => write(reader, &signed_response(503, &id, "no")).await,
-            Behaviour::Unsigned => write(reader, &unsigned_response(200, "")).await,
+            Behaviour::Unsigned => write(reader, &unsigned_response(200, &id, "")).await,
             Behaviour::Reset => {
                 let linger = Some(std::time::Duration::ZERO);
                 #[expect(deprecated, reason = "the test needs a reset")]
@@ -287,8 +289,9 @@
     bytes
 }
 
-fn unsigned_response(status: u16, fields: &str) -> Vec<u8> {
-    format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{fields}\r\n").into_bytes()
+fn unsigned_response(status: u16, id: &str, fields: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status} X\r\ntest-id: {id}\r\nContent-Length: 0\r\n{fields}\r\n")
+        .into_bytes()
 }
 
 async fn write(reader: &mut Reader<TcpStream>, bytes: &[u8]) -> bool {
