Let a VM that restarts with its clock set back be known again

Cause: a process's incarnation is the time of its start. If the VM's clock went back between two starts, peers took the new process for older than the one that they knew and ignored it until they forgot that one after 15 s. Look-ups left the VM out, and it got no heartbeats, from which large fleets learn of leaving upstreams.

A VM that hears from an older incarnation answers with the one that it knows, and the process takes the next one.

Measured: a_vm_that_restarts_after_its_clock_went_back_is_known_again failed, 3.5 s after the restart the look-up had one VM of two, and passes.

--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -169,14 +169,16 @@
         };
         match decode(&buffer[..length]) {
             Ok((heartbeat, extension)) => {
-                let sender = heartbeat.members.first().map(|sender| sender.heartbeats);
+                let sender = heartbeat.members.first().cloned();
                 if let Some(joined) = apply(&core, heartbeat, &extension, &on_newer) {
                     send_members(&core, &socket, joined).await;
                 }
-                if extension.asks
-                    && let Some(sender) = sender
-                {
-                    send_to(&socket, &encode(&core, Vec::new(), &[], false), sender).await;
+                if let Some(sender) = sender {
+                    let known = core.members.borrow().superseding(&sender).cloned();
+                    if extension.asks || known.is_some() {
+                        let bytes = encode(&core, known.into_iter().collect(), &[], false);
+                        send_to(&socket, &bytes, sender.heartbeats).await;
+                    }
                 }
             }
             Err(error) => {
@@ -214,6 +216,7 @@
     let mut joined = None;
     for (position, member) in heartbeat.members.into_iter().enumerate() {
         let vm = Arc::clone(&member.vm);
+        supersede_own(core, &member);
         if core.members.borrow_mut().update(member, now) {
             log::info!(target: "belief", vm = vm.as_ref(); "entry VM alive");
             joined = joined.or((position == 0).then_some(heartbeats));
@@ -252,6 +255,19 @@
     joined
 }
 
+/// Takes a newer incarnation if peers know a newer one of this VM, which was started with a later
+/// clock before. They would ignore this process otherwise.
+fn supersede_own(core: &Core, member: &Member) {
+    let mut own = core.own_member.borrow_mut();
+    if member.vm == own.vm && member.incarnation > own.incarnation {
+        log::info!(
+            target: "belief", known = member.incarnation, own = own.incarnation;
+            "peers know a later start of this VM; taking a newer incarnation"
+        );
+        own.incarnation = member.incarnation + 1;
+    }
+}
+
 /// Decodes a datagram.
 fn decode(bytes: &[u8]) -> Result<(Heartbeat, Extension), rmp_serde::decode::Error> {
     let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -2,13 +2,17 @@
 
 mod world;
 
-use clock::Millis;
+use clock::{Clock, Millis};
+use gateway::Gateway;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::sync::Arc;
 use steering::catalogue::Feed;
 use steering::routing::{Effect, Readiness};
 use world::caller::get;
+use world::store::Store;
 use world::upstream::Behaviour;
-use world::{entry, route, run_test, until};
+use world::{entry, route, run_test, settings, until};
 
 #[tokio::test]
 async fn without_a_configuration_a_vm_answers_503_and_is_not_ready() {
@@ -151,6 +155,41 @@
     .await;
 }
 
+/// Runs a gateway on a thread of its own for a short time, with a clock that is an hour ahead and
+/// without access to the store, and ends it as a kill does.
+fn run_ahead(vm: &'static str, ip: IpAddr, seed: SocketAddr) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let life = async {
+        let store = Rc::new(Store::default());
+        store.reject(vm);
+        let settings = gateway::Settings { seeds: vec![seed], ..settings(vm, ip) };
+        let clock = Clock::at(Clock::system().now() + Millis::from_secs(3_600));
+        let sources = move || store.connect(&vm.into());
+        let protocol = Box::new(world::protocol::TestProtocol);
+        let _gateway = Gateway::open(settings, protocol, sources, clock).await.unwrap();
+        tokio::time::sleep(Millis(1_200).duration()).await;
+    };
+    tokio::task::LocalSet::new().block_on(&runtime, life);
+}
+
+/// Guards against restarted VMs that peers ignore: its clock was ahead when the VM started before,
+/// and peers took the new process for older than the one that they knew.
+#[tokio::test]
+async fn a_vm_that_restarts_after_its_clock_went_back_is_known_again() {
+    run_test(async |world| {
+        let (_upstream, a) = world.serving().await;
+        let (ip, seed) = (world.host(), a.heartbeats());
+        tokio::task::spawn_blocking(move || run_ahead("b", ip, seed)).await.unwrap();
+        let b = world.gateway_at("b", ip, |settings| settings.seeds = vec![seed]).await;
+        b.await_ready().await;
+        // By then, the process of before is dead for its peers.
+        tokio::time::sleep(Millis(3_500).duration()).await;
+        let both = [a.callers().to_string(), b.callers().to_string()];
+        assert_eq!(a.look_up("r1").await, both);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_stopping_vm_finishes_what_it_read_and_answers_what_still_comes() {
     run_test(async |world| {
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -86,7 +86,11 @@
 
     /// Starts a gateway with other settings.
     pub async fn gateway_with(&self, vm: &str, change: impl Fn(&mut Settings)) -> Vm {
-        let ip = self.host();
+        self.gateway_at(vm, self.host(), change).await
+    }
+
+    /// Starts a gateway with other settings at an address.
+    pub async fn gateway_at(&self, vm: &str, ip: IpAddr, change: impl Fn(&mut Settings)) -> Vm {
         let mut settings = settings(vm, ip);
         change(&mut settings);
         let store = Rc::clone(&self.store);
@@ -213,7 +217,7 @@
     Configuration { version, routes: routes.into(), services: vec![Arc::new(service)], limits }
 }
 
-fn settings(vm: &str, ip: IpAddr) -> Settings {
+pub fn settings(vm: &str, ip: IpAddr) -> Settings {
     let at = |port| SocketAddr::new(ip, port);
     let regions = [("d1", "r1"), ("d2", "r2")];
     Settings {
--- a/components/steering/src/membership.rs
+++ b/components/steering/src/membership.rs
@@ -26,7 +26,7 @@
     pub changes: SocketAddr,
     /// Address for heartbeats of peers.
     pub heartbeats: SocketAddr,
-    /// Increases at each start of the VM.
+    /// Increases at each start of the VM; the time of its start, unless peers know a later one.
     pub incarnation: u64,
     /// Heartbeat counter.
     pub beat: u64,
@@ -113,6 +113,13 @@
         is_new || was_dead
     }
 
+    /// What is known of a VM that describes itself with an older incarnation: its clock went back
+    /// between two starts. Told of it, the VM takes a newer one.
+    pub fn superseding(&self, member: &Member) -> Option<&Member> {
+        let known = &self.known.get(&member.vm)?.member;
+        (known.incarnation > member.incarnation).then_some(known)
+    }
+
     /// Takes over a summary if it is newer; returns the name of the VM if it counted as dead.
     /// Summaries of a VM whose description has not arrived are ignored.
     pub fn update_summary(&mut self, summary: Summary, now: Millis) -> Option<Arc<str>> {
--- a/components/steering/tests/fleetwide.rs
+++ b/components/steering/tests/fleetwide.rs
@@ -166,6 +166,20 @@
     assert_eq!(members.alive(Millis(6_200)).count(), 0);
 }
 
+#[test]
+fn a_vm_with_an_older_incarnation_is_told_of_the_known_one() {
+    let mut members = Members::new("own".into(), Millis(3_000), Millis(15_000));
+    members.update(member("a", 100, 50), Millis(0));
+    assert!(members.superseding(&member("a", 100, 1)).is_none());
+    assert!(members.superseding(&member("b", 1, 1)).is_none(), "nothing is known of it");
+    let restarted = member("a", 40, 1);
+    assert!(!members.update(restarted.clone(), Millis(500)));
+    let known = members.superseding(&restarted).unwrap().incarnation;
+    assert_eq!(known, 100);
+    assert!(members.update(member("a", known + 1, 2), Millis(600)));
+    assert_eq!(members.alive(Millis(3_500)).count(), 1);
+}
+
 /// Seen in a large fleet: each VM sends a heartbeat to three peers every half second. With only
 /// eight other VMs in each heartbeat, a calm fleet of 72 took some VMs for dead 500 times a second.
 #[test]
