Reject heartbeats whose second part is malformed

Cause: the part of a heartbeat that earlier versions don't send was taken for absent whenever it could not be decoded, without a log line. A changed format would have looked like an earlier version.

Only its absence is taken for an earlier version; anything else is a malformed heartbeat, logged and ignored as before.

--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -272,8 +272,12 @@
 fn decode(bytes: &[u8]) -> Result<(Heartbeat, Extension), rmp_serde::decode::Error> {
     let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
     let heartbeat = Heartbeat::deserialize(&mut decoder)?;
-    // VMs of earlier versions send none.
-    let extension = Extension::deserialize(&mut decoder).unwrap_or(Extension::NONE);
+    let extension = match Extension::deserialize(&mut decoder) {
+        Ok(extension) => extension,
+        // VMs of earlier versions send none.
+        Err(rmp_serde::decode::Error::InvalidMarkerRead(_)) => Extension::NONE,
+        Err(error) => return Err(error),
+    };
     Ok((heartbeat, extension))
 }
 
