Let the soak play fleets in which most VMs rely on a few readers

Cause: the soak had six VMs, and in fleets of up to 16 every VM reads the store. What large fleets do otherwise, reading through a few VMs and learning from peers, was never under its faults, and the loss of removals could not show.

--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -12,5 +12,5 @@
 mod seeds;
 mod upstream;
 
-pub use run::{Report, run};
+pub use run::{FEW_VMS, MAX_VMS, Report, Scenario, run};
 pub use seeds::{Seed, regressions};
--- a/components/soak/src/main.rs
+++ b/components/soak/src/main.rs
@@ -18,6 +18,9 @@
     /// how long each is played, in seconds (default 20)
     #[argh(option, default = "20")]
     seconds: u64,
+    /// how many VMs, 90 at most (default 6); with more than 16, few of them read from the store
+    #[argh(option, default = "soak::FEW_VMS")]
+    vms: usize,
     /// the gateway's program (default: beside this one)
     #[argh(option)]
     program: Option<PathBuf>,
@@ -41,17 +44,23 @@
         eprintln!("can't find the gateway's program: give its path with --program");
         return ExitCode::FAILURE;
     };
+    if !(1..=soak::MAX_VMS).contains(&options.vms) {
+        eprintln!("--vms: {} is not between 1 and {}", options.vms, soak::MAX_VMS);
+        return ExitCode::FAILURE;
+    }
     let mut failed = false;
     for seed in options.seed..options.seed + options.count {
-        failed |= !run(seed, options.seconds, &program).await;
+        let scenario = soak::Scenario { seed, seconds: options.seconds, vms: options.vms };
+        failed |= !run(scenario, &program).await;
     }
     if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
 
 /// Runs one seed and prints the result; `true` if no guarantee was violated.
-async fn run(seed: u64, seconds: u64, program: &std::path::Path) -> bool {
+async fn run(scenario: soak::Scenario, program: &std::path::Path) -> bool {
+    let soak::Scenario { seed, seconds, vms } = scenario;
     let directory = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
-    let report = match soak::run(seed, seconds, program, &directory).await {
+    let report = match soak::run(scenario, program, &directory).await {
         Ok(report) => report,
         Err(error) => {
             eprintln!("seed {seed}: {error}");
@@ -61,7 +70,7 @@
     let responses: Vec<String> =
         report.responses.iter().map(|(status, count)| format!("{status}: {count}")).collect();
     let faults = report.faults.len();
-    println!("seed {seed}, {seconds} s, {faults} faults; {}", responses.join(", "));
+    println!("seed {seed}, {seconds} s, {vms} VMs, {faults} faults; {}", responses.join(", "));
     if report.violations.is_empty() {
         return true;
     }
--- a/components/soak/src/run.rs
+++ b/components/soak/src/run.rs
@@ -20,7 +20,10 @@
 
 const DOMAINS: [(&str, &str); 3] = [("d1", "r1"), ("d2", "r1"), ("d3", "r2")];
 const SERVICE: &str = "soak";
-const VMS: usize = 6;
+/// VMs of a usual run, in which all of them read from the store.
+pub const FEW_VMS: usize = 6;
+/// Most VMs, whose addresses lie below those of the upstreams.
+pub const MAX_VMS: usize = 90;
 const UPSTREAMS: usize = 9;
 const CALLERS_PER_VM: usize = 3;
 const PORT: u16 = 8080;
@@ -42,14 +45,24 @@
     pub violations: Vec<String>,
 }
 
-/// Runs the faults of `seed` for `seconds` against the gateway binary `program`. Settings files are
-/// written to `directory`.
+/// What a run plays.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    /// Determines the faults.
+    pub seed: u64,
+    /// Duration in seconds; the faults depend on it.
+    pub seconds: u64,
+    /// Number of VMs, [`MAX_VMS`] at most.
+    pub vms: usize,
+}
+
+/// Plays `scenario` against the gateway binary `program`. Settings files are written to `directory`.
 ///
 /// # Errors
 ///
 /// When a settings file can't be written, an address is in use or a process can't be started.
-pub async fn run(seed: u64, seconds: u64, program: &Path, directory: &Path) -> io::Result<Report> {
-    LocalSet::new().run_until(run_local(seed, seconds, program, directory)).await
+pub async fn run(scenario: Scenario, program: &Path, directory: &Path) -> io::Result<Report> {
+    LocalSet::new().run_until(run_local(scenario, program, directory)).await
 }
 
 /// The processes, stand-ins and workload of a run.
@@ -76,13 +89,9 @@
     is_busy: Cell<bool>,
 }
 
-async fn run_local(
-    seed: u64,
-    seconds: u64,
-    program: &Path,
-    directory: &Path,
-) -> io::Result<Report> {
-    let cluster = Rc::new(Cluster::start(program, directory).await?);
+async fn run_local(scenario: Scenario, program: &Path, directory: &Path) -> io::Result<Report> {
+    let Scenario { seed, seconds, vms } = scenario;
+    let cluster = Rc::new(Cluster::start(vms.min(MAX_VMS), program, directory).await?);
     let mut tasks = cluster.start_traffic();
     tokio::time::sleep(WARM_UP.duration()).await;
     let faults = fault::generate(seed, seconds);
@@ -110,7 +119,7 @@
 }
 
 impl Cluster {
-    async fn start(program: &Path, directory: &Path) -> io::Result<Cluster> {
+    async fn start(vms: usize, program: &Path, directory: &Path) -> io::Result<Cluster> {
         std::fs::create_dir_all(directory)?;
         let checker = Rc::new(Checker::new(Clock::system()));
         let subnet = Subnet::next();
@@ -128,7 +137,7 @@
             endpoints.push(Endpoint { upstream, link, address, domain, is_busy: Cell::default() });
         }
         let workload = Rc::new(Workload::new(Rc::clone(&checker)));
-        let gateways = prepare_gateways(subnet, program, directory, store_address)?;
+        let gateways = prepare_gateways(vms, subnet, program, directory, store_address)?;
         let gateways_busy = gateways.iter().map(|_| Cell::new(false)).collect();
         let next_id = Cell::new(UPSTREAMS as u64);
         let cluster =
@@ -285,6 +294,7 @@
 
 /// Writes the settings files of the gateways, without starting processes.
 fn prepare_gateways(
+    vms: usize,
     subnet: Subnet,
     program: &Path,
     directory: &Path,
@@ -292,7 +302,7 @@
 ) -> io::Result<Vec<Rc<Gateway>>> {
     let seeds = [10, 11, 12].map(|number| subnet.host(number));
     let mut gateways = Vec::new();
-    for number in 0..VMS {
+    for number in 0..vms {
         let (domain, region) = DOMAINS[number % DOMAINS.len()];
         let vm = Vm {
             name: format!("vm-{number}"),
