Repeat the request id in the soak's sheds and 421s

Cause: the soak's upstreams left the request id out of the responses that state that a request was not run, while the users' pages say that theirs repeat it.

--- a/components/soak/src/upstream.rs
+++ b/components/soak/src/upstream.rs
@@ -70,10 +70,11 @@
         let id = head.headers.text(names.request_id).unwrap_or_default().to_owned();
         let target = head.headers.text(names.target).unwrap_or_default();
         if target != *self.id.borrow() {
-            return respond(reader, 421, &[], "").await;
+            return respond(reader, 421, &[(names.request_id, &id)], "").await;
         }
         if rand::random_ratio(1, 40) {
-            return respond(reader, 503, &[(names.not_run, "full")], "").await;
+            let fields = [(names.request_id, id.as_str()), (names.not_run, "full")];
+            return respond(reader, 503, &fields, "").await;
         }
         self.check_bounds(&id);
         let is_order = head.path().starts_with("/order/");
