Name the selection of readers and the limits by their modules

Types and functions are named by their modules: staleness::Limits beside retry_budget::Limits, readers::select in place of readers::readers. No behaviour changes.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -14,7 +14,7 @@
 use steering::readers::{self, Role};
 use steering::retry_budget::{Budget, Limits};
 use steering::routing::{Splitter, Table};
-use steering::staleness::{Limits as StalenessLimits, TRANSIT};
+use steering::staleness::{self, TRANSIT};
 use steering::uptime::Uptime;
 use tokio::sync::{Notify, watch};
 
@@ -273,9 +273,9 @@
     }
 
     /// The ages of this VM's copy of `feed` at which it acts.
-    pub fn staleness_limits(&self, feed: Feed) -> StalenessLimits {
+    pub fn staleness_limits(&self, feed: Feed) -> staleness::Limits {
         let bounds = self.settings().bounds;
-        StalenessLimits::new(match feed {
+        staleness::Limits::new(match feed {
             Feed::Operators => bounds.configuration,
             Feed::Upstreams => bounds.drain,
         })
@@ -310,7 +310,7 @@
     pub fn reader_addresses(&self) -> Vec<SocketAddr> {
         let members = self.members.borrow();
         let in_region = self.alive_in_region(&members, self.clock.now());
-        let names = readers::readers(in_region.iter().map(|member| member.vm.as_ref()));
+        let names = readers::select(in_region.iter().map(|member| member.vm.as_ref()));
         let readers = in_region.iter().filter(|member| names.contains(&member.vm.as_ref()));
         readers.map(|member| member.heartbeats).collect()
     }
--- a/components/steering/src/readers.rs
+++ b/components/steering/src/readers.rs
@@ -51,7 +51,7 @@
 }
 
 /// The readers among `vms`, the live VMs of a region of a large fleet.
-pub fn readers<'a, Vms>(vms: Vms) -> Vec<&'a str>
+pub fn select<'a, Vms>(vms: Vms) -> Vec<&'a str>
 where
     Vms: Iterator<Item = &'a str>,
 {
--- a/components/steering/tests/readers.rs
+++ b/components/steering/tests/readers.rs
@@ -1,7 +1,7 @@
 //! A large fleet has a few readers in each region, and no VM relies on peers with an old copy.
 
 use clock::Millis;
-use steering::readers::{Role, poll_wait, readers, role};
+use steering::readers::{Role, poll_wait, role, select};
 use steering::staleness::Limits;
 
 const LIMITS: Limits = Limits { ask: Millis(1_000), read: Millis(2_000) };
@@ -49,7 +49,7 @@
 #[test]
 fn the_vms_that_are_asked_are_those_that_read() {
     let names = region(24);
-    let mut asked = readers(names.iter().map(String::as_str));
+    let mut asked = select(names.iter().map(String::as_str));
     let mut reading = reading(&names, 72, Some(Millis::ZERO));
     asked.sort_unstable();
     reading.sort_unstable();
--- a/components/steering/tests/staleness_fleet.rs
+++ b/components/steering/tests/staleness_fleet.rs
@@ -253,7 +253,7 @@
     /// The readers of a region, which stay selected for a while after they were cut off.
     fn readers(&self, region: usize) -> Vec<String> {
         let names = self.vms.iter().filter(|each| each.region == region);
-        let names = readers::readers(names.map(|each| each.name.as_str()));
+        let names = readers::select(names.map(|each| each.name.as_str()));
         names.into_iter().map(str::to_owned).collect()
     }
 
