Apply the limits in force to connections that were idle across a change

What callers saw: on a connection that was idle while a new version of the configuration came into force, the next request was judged by the limits of the version before. It was refused with 413 or 431 although the new version allows it, or the connection was closed after the old idle timeout, however long ago the new version was acknowledged.

Cause: the reader of a connection took the limits before it waited for the first byte of the next request, and the timer of the idle timeout was started from the same copy. Class: state derived from an older configuration is held across its replacement.

Change: the limits are taken when the first byte has arrived. The idle timeout is a watched value, so that a change wakes the connections that are idle, and only them and only then.

Whether this is what the users saw is not known: their report doesn't name the status.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -13,7 +13,7 @@
 use steering::membership::{Member, Members};
 use steering::readers::{self, Role};
 use steering::retry_budget::{Budget, Limits};
-use steering::routing::{Splitter, Table};
+use steering::routing::{Limits as RequestLimits, Splitter, Table};
 use steering::staleness::{self, TRANSIT};
 use steering::uptime::Uptime;
 use tokio::sync::{Notify, watch};
@@ -78,6 +78,9 @@
     pub catalogue: RefCell<Catalogue>,
     /// The routes of the configuration in force.
     pub table: RefCell<Rc<Table>>,
+    /// The idle timeout of callers' connections in the configuration in force. It wakes the
+    /// connections that are idle when it changes.
+    pub idle_timeout: watch::Sender<Millis>,
     /// Upstreams with this VM's connections and observations.
     pub upstreams: RefCell<Upstreams>,
     /// The other entry VMs.
@@ -150,6 +153,7 @@
             started: now,
             catalogue: RefCell::default(),
             table: RefCell::default(),
+            idle_timeout: watch::channel(RequestLimits::default().idle_timeout).0,
             upstreams: RefCell::new(Upstreams::new(&settings)),
             members: RefCell::new(Members::new(
                 Arc::clone(&settings.vm),
@@ -338,6 +342,10 @@
                 && let Some(configuration) = catalogue.configuration()
             {
                 *self.table.borrow_mut() = Rc::new(Table::new(configuration));
+                self.idle_timeout.send_if_modified(|known| {
+                    let timeout = configuration.limits.idle_timeout;
+                    std::mem::replace(known, timeout) != timeout
+                });
                 self.splitter.borrow_mut().reset();
             }
         }
--- a/components/gateway/src/inbound.rs
+++ b/components/gateway/src/inbound.rs
@@ -90,12 +90,13 @@
     /// Reads requests until the connection ends. Returns whether the caller has disconnected.
     async fn run(self, reader: &mut Reader<OwnedReadHalf>) -> bool {
         loop {
-            let limits = self.core.table().limits();
-            match self.await_request(reader, limits).await {
+            match self.await_request(reader).await {
                 Input::Available => {}
                 Input::Disconnected => return true,
                 Input::IdleTimeout | Input::Stopping => return false,
             }
+            // The configuration may have changed while the connection was idle.
+            let limits = self.core.table().limits();
             let (head, body) = match read_request(self.core, reader, limits).await {
                 Ok(request) => request,
                 Err(ReadError::Disconnected) => return true,
@@ -115,8 +116,9 @@
     }
 
     /// Waits for bytes of the next request, or for a reason to read no more.
-    async fn await_request(&self, reader: &mut Reader<OwnedReadHalf>, limits: Limits) -> Input {
+    async fn await_request(&self, reader: &mut Reader<OwnedReadHalf>) -> Input {
         let mut phase = self.core.phase.subscribe();
+        let mut idle_timeout = self.core.idle_timeout.subscribe();
         loop {
             let has_pending = self.activity.pending.get() > 0;
             match *phase.borrow_and_update() {
@@ -127,10 +129,11 @@
                 Phase::Closing if reader.has_bytes() => {}
                 Phase::Closing | Phase::Ending => return Input::Stopping,
             }
+            let timeout = *idle_timeout.borrow_and_update();
             let idle_since = self.activity.last_response.get();
             let idle = match self.activity.pending.get() {
-                0 => idle_since + limits.idle_timeout - self.core.clock.now(),
-                _ => limits.idle_timeout,
+                0 => idle_since + timeout - self.core.clock.now(),
+                _ => timeout,
             };
             tokio::select! {
                 biased;
@@ -139,8 +142,9 @@
                     Err(_) => Input::Disconnected,
                 },
                 _ = phase.changed() => {}
+                _ = idle_timeout.changed() => {}
                 () = tokio::time::sleep(idle.duration()) => {
-                    let expired = self.activity.last_response.get() + limits.idle_timeout;
+                    let expired = self.activity.last_response.get() + timeout;
                     if self.activity.pending.get() == 0 && self.core.clock.now() >= expired {
                         return Input::IdleTimeout;
                     }
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use steering::catalogue::Feed;
 use steering::routing::{Effect, Readiness};
-use world::caller::get;
+use world::caller::{get, post};
 use world::store::Store;
 use world::upstream::Behaviour;
 use world::{entry, route, run_test, settings, until};
@@ -376,3 +376,59 @@
     })
     .await;
 }
+
+/// Guards against refusals by an older configuration: a connection that was idle while a new
+/// version came into force judged its next request by the limits of the version before.
+#[tokio::test]
+async fn a_connection_that_was_idle_during_a_change_applies_the_new_limits() {
+    run_test(async |world| {
+        let (_upstream, vm) = world.serving().await;
+        let mut idle = vm.connect().await;
+        assert_eq!(idle.request(&get("/read/1", "r")).await.unwrap().status, 200);
+        world.declare_with(2, |configuration| {
+            configuration.limits.body_bytes = 3_000_000;
+            configuration.limits.head_bytes = 8_192;
+            configuration.routes.push(Arc::new(route("/new/", Effect::Idempotent)));
+        });
+        let mut caller = vm.connect().await;
+        until(async || caller.request(&get("/new/1", "n")).await.unwrap().status == 200).await;
+        let body = "x".repeat(1_500_000);
+        assert_eq!(idle.request(&post("/read/2", "s", &body)).await.unwrap().status, 200);
+        let long_head = get(&format!("/read/{}", "y".repeat(4_000)), "t");
+        assert_eq!(idle.request(&long_head).await.unwrap().status, 200);
+    })
+    .await;
+}
+
+/// Guards against connections that are closed by an older configuration: a connection that was idle
+/// while a new version came into force was closed after the idle timeout of the version before.
+#[tokio::test]
+async fn a_connection_that_was_idle_during_a_change_applies_the_new_idle_timeout() {
+    run_test(async |world| {
+        let (_upstream, vm) = world.serving().await;
+        let declare = |version, idle_timeout| {
+            world.declare_with(version, |configuration| {
+                configuration.limits.idle_timeout = idle_timeout;
+                let prefix = format!("/v{version}/");
+                configuration.routes.push(Arc::new(route(&prefix, Effect::Idempotent)));
+            });
+        };
+        let in_force = async |version: u64| {
+            let text = get(&format!("/v{version}/1"), "n");
+            until(async || vm.connect().await.request(&text).await.unwrap().status == 200).await;
+        };
+        declare(2, Millis(500));
+        in_force(2).await;
+        let mut idle = vm.connect().await;
+        assert_eq!(idle.request(&get("/read/1", "r")).await.unwrap().status, 200);
+        declare(3, Millis(5_000));
+        in_force(3).await;
+        tokio::time::sleep(Millis(700).duration()).await;
+        assert_eq!(idle.request(&get("/read/2", "s")).await.unwrap().status, 200);
+        declare(4, Millis(200));
+        in_force(4).await;
+        assert!(idle.response().await.is_none());
+        assert!(vm.connect().await.request(&get("/read/3", "t")).await.is_some());
+    })
+    .await;
+}
