Count the time for which a VM is suspended as time

What callers may see: requests that are handled by an older configuration, later than its bound, by a VM that wakes up from a suspension or by its peers. The steady clock of a suspended VM stands still. Right after it the VM took its copies of the store's feeds for as young as before, put off reading from the store by up to half of the bound, and confirmed the copies of its peers with that age.

Cause: ages, deadlines and heartbeats are all measured by the monotonic clock, which on Linux doesn't count suspensions. Class: an age is measured by a clock that doesn't run all the time.

Change: `Clock` adds the difference between CLOCK_BOOTTIME and CLOCK_MONOTONIC since its origin, read through the crate nix. Timers still run on the monotonic clock; all loops compare times after they fire. A test can simulate a suspension.

No VM of this machine was really suspended.

--- a/components/clock/src/clock.rs
+++ b/components/clock/src/clock.rs
@@ -1,15 +1,21 @@
 use crate::Millis;
+use crate::suspension::Suspension;
+use std::sync::atomic::AtomicU64;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
 /// A monotonic clock that reads as milliseconds since the Unix epoch.
 ///
-/// The wall clock is read once; after that the time advances with Tokio's timer. A step of the
-/// VM's wall clock therefore never moves a lease, and `tokio::time::pause` gives virtual time.
+/// The wall clock is read once; after that the time advances with Tokio's timer, and by the time for
+/// which the VM is suspended. A step of the VM's wall clock therefore never moves a lease,
+/// `tokio::time::pause` gives virtual time, and a VM that wakes up knows how old its state is.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
     epoch: Millis,
+    suspension: Suspension,
+    /// The time for which the VM had been suspended at the origin.
+    suspended_before: Millis,
 }
 
 impl Clock {
@@ -21,15 +27,26 @@
 
     /// A clock that reads `epoch` now, for tests and experiments in virtual time.
     pub fn at(epoch: Millis) -> Clock {
-        Clock { origin: Instant::now(), epoch }
+        Clock::new(epoch, Suspension::System)
+    }
+
+    /// The same clock on a VM that is suspended whenever `total` increases, by as many ms.
+    pub fn with_suspension(self, total: &'static AtomicU64) -> Clock {
+        Clock::new(self.now(), Suspension::Simulated(total))
+    }
+
+    fn new(epoch: Millis, suspension: Suspension) -> Clock {
+        let suspended_before = suspension.total();
+        Clock { origin: Instant::now(), epoch, suspension, suspended_before }
     }
 
     /// The current time.
     pub fn now(&self) -> Millis {
-        self.epoch + Millis(self.origin.elapsed().as_millis() as u64)
+        let running = Millis(self.origin.elapsed().as_millis() as u64);
+        self.epoch + running + (self.suspension.total() - self.suspended_before)
     }
 
-    /// Waits for `span`.
+    /// Waits for `span`, without the time for which the VM is suspended.
     pub async fn sleep(&self, span: Millis) {
         tokio::time::sleep(span.duration()).await;
     }
--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod clock;
 mod millis;
+mod suspension;
 
 pub use crate::clock::Clock;
 pub use millis::Millis;
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only a part")]
 
 pub mod caller;
+pub mod probe;
 pub mod protocol;
 pub mod store;
 pub mod upstream;
@@ -93,11 +94,21 @@
     pub async fn gateway_at(&self, vm: &str, ip: IpAddr, change: impl Fn(&mut Settings)) -> Vm {
         let mut settings = settings(vm, ip);
         change(&mut settings);
+        self.open(vm, settings, Clock::system()).await
+    }
+
+    /// Starts a gateway with another clock.
+    pub async fn gateway_with_clock(&self, vm: &str, clock: Clock) -> Vm {
+        self.open(vm, settings(vm, self.host()), clock).await
+    }
+
+    async fn open(&self, vm: &str, settings: Settings, clock: Clock) -> Vm {
+        let ip = settings.listen.callers.ip();
         let store = Rc::clone(&self.store);
         let name: Arc<str> = vm.into();
         let sources = move || store.connect(&name);
         let protocol = Box::new(protocol::TestProtocol);
-        let gateway = Gateway::open(settings, protocol, sources, Clock::system()).await.unwrap();
+        let gateway = Gateway::open(settings, protocol, sources, clock).await.unwrap();
         Vm { ip, gateway }
     }
 
--- /dev/null
+++ b/components/gateway/tests/world/probe.rs
@@ -0,0 +1,74 @@
+//! A VM that is played by the test: it sends heartbeats and reads those that it gets.
+
+use super::World;
+use clock::Millis;
+use std::net::SocketAddr;
+use steering::catalogue::Feed;
+use steering::membership::{Member, Summary};
+use tokio::net::UdpSocket;
+
+/// A heartbeat as it is sent: members, summaries, newest revisions, ages, the store's uptime.
+type Heartbeat = (Vec<Member>, Vec<Summary>, [u64; 2], [Option<u64>; 2], Option<(u64, u64)>);
+/// Its extension: the revisions after which the sender knows all changes, whether it asks.
+type Extension = ([u64; 2], bool);
+
+/// How long the probe waits for the answer to a question.
+const ANSWER_TIMEOUT: Millis = Millis(500);
+
+pub struct Probe {
+    socket: UdpSocket,
+    member: Member,
+}
+
+impl Probe {
+    pub async fn open(world: &World, vm: &str) -> Probe {
+        let address = SocketAddr::new(world.host(), super::HEARTBEATS);
+        let member = Member {
+            vm: vm.into(),
+            domain: "d1".into(),
+            callers: address,
+            changes: address,
+            heartbeats: address,
+            incarnation: 1,
+            beat: 0,
+            ready: false,
+            millicores: 100,
+            link_mbps: 10,
+            pressed: false,
+        };
+        Probe { socket: UdpSocket::bind(address).await.unwrap(), member }
+    }
+
+    /// Claims to know all changes up to `revision` of both feeds, as the store confirmed just now.
+    /// The heartbeat doesn't say when it was made.
+    pub async fn claim_up_to_date(&mut self, vm: SocketAddr, revision: u64) {
+        self.send(vm, [revision; 2], [Some(0); 2], false).await;
+    }
+
+    /// Asks the VM for a heartbeat; returns the age of its copy of `feed`.
+    pub async fn age(&mut self, vm: SocketAddr, feed: Feed) -> Option<Millis> {
+        let mut buffer = [0; 4_096];
+        while self.socket.try_recv(&mut buffer).is_ok() {}
+        loop {
+            self.send(vm, [0; 2], [None; 2], true).await;
+            let answer = self.socket.recv_from(&mut buffer);
+            let answer = tokio::time::timeout(ANSWER_TIMEOUT.duration(), answer).await;
+            if let Ok(Ok((length, from))) = answer
+                && from == vm
+            {
+                let mut decoder = rmp_serde::Deserializer::from_read_ref(&buffer[..length]);
+                let heartbeat: Heartbeat = serde::Deserialize::deserialize(&mut decoder).unwrap();
+                return heartbeat.3[feed as usize].map(Millis);
+            }
+        }
+    }
+
+    async fn send(&mut self, vm: SocketAddr, newest: [u64; 2], ages: [Option<u64>; 2], asks: bool) {
+        self.member.beat += 1;
+        let heartbeat: Heartbeat = (vec![self.member.clone()], Vec::new(), newest, ages, None);
+        let extension: Extension = ([0; 2], asks);
+        let mut bytes = rmp_serde::to_vec(&heartbeat).unwrap();
+        bytes.extend(rmp_serde::to_vec(&extension).unwrap());
+        self.socket.send_to(&bytes, vm).await.unwrap();
+    }
+}
--- a/components/gateway/tests/world/store.rs
+++ b/components/gateway/tests/world/store.rs
@@ -5,7 +5,7 @@
 use errors::{Error, Kind};
 use gateway::{Poll, Source, Update};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use steering::catalogue::{Batch, Change, Content, Feed};
@@ -25,6 +25,10 @@
     calls: Cell<usize>,
     /// VMs whose requests in flight fail as well.
     cut_off: RefCell<HashSet<Arc<str>>>,
+    /// VMs whose responses are delayed, and by how much.
+    delays: RefCell<HashMap<Arc<str>, Millis>>,
+    /// The number of responses that were delayed.
+    delayed: Cell<usize>,
     /// VMs that made a request since [`Store::forget_callers`].
     callers: RefCell<HashSet<Arc<str>>>,
     /// The feed and the requested wait of each poll.
@@ -70,6 +74,15 @@
         self.cut_off.borrow_mut().remove(vm);
     }
 
+    /// Delays the responses to `vm`, as they lie with a VM that is frozen.
+    pub fn delay_responses(&self, vm: &str, span: Millis) {
+        self.delays.borrow_mut().insert(vm.into(), span);
+    }
+
+    pub fn delayed(&self) -> usize {
+        self.delayed.get()
+    }
+
     /// Drops the history, so that followers have to list again.
     pub fn drop_history(&self) {
         self.dropped_until.set(self.revision.get());
@@ -113,6 +126,14 @@
 }
 
 impl Connection {
+    async fn delay(&self) {
+        let span = self.store.delays.borrow().get(&self.vm).copied();
+        if let Some(span) = span {
+            tokio::time::sleep(span.duration()).await;
+            self.store.delayed.set(self.store.delayed.get() + 1);
+        }
+    }
+
     fn check_access(&self) -> Result<(), Error> {
         self.store.calls.set(self.store.calls.get() + 1);
         self.store.callers.borrow_mut().insert(Arc::clone(&self.vm));
@@ -147,6 +168,7 @@
             let changes = self.store.changes(feed, after);
             if !changes.is_empty() || called.elapsed() >= wait.duration() {
                 let revision = self.store.revision.get();
+                self.delay().await;
                 return Ok(Update::Changes(Batch { feed, full: false, revision, changes }));
             }
             tokio::time::sleep(CHECK_INTERVAL.duration()).await;
