Date statements about a copy by when they were made

What callers saw: requests that are handled by an older configuration after its bound, such as a 404 for a route that was added. gateway/tests/ages reproduces it: while heartbeats that were made before a change go on to arrive, a VM that relies on its peers never reads the change from the store; its age stays at 100 ms.

Cause: each VM keeps the bound by the age of its copies. A heartbeat's claim counted as 100 ms old whenever it arrived, and a response of the store as well. Datagrams that lay in the queue of a frozen VM, or that waited on a busy link, and a response of the store that arrived before a freeze, became fresh confirmations. The VM told its peers, which put off their own reading in turn. Class: the age of a statement is counted from its receipt.

Change: a third part of each datagram has the sender's stamp and an echo of the receiver's, with the time that it was held, so that the receiver knows a moment of its own clock before which the statement can't have been made. A claim without an echo confirms nothing; those of earlier versions have none, so that in a mixed fleet new VMs read more often from the store. A response with changes counts from when the poll was sent, one without from the end of its wait. Readers of large fleets end a poll before their copy is old enough for questions, also after a response with changes.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -10,11 +10,12 @@
 use std::sync::Arc;
 use steering::catalogue::{Batch, Catalogue, Feed};
 use steering::cross_region::Limiter;
+use steering::echo::Echoes;
 use steering::membership::{Member, Members};
 use steering::readers::{self, Role};
 use steering::retry_budget::{Budget, Limits};
 use steering::routing::{Limits as RequestLimits, Splitter, Table};
-use steering::staleness::{self, TRANSIT};
+use steering::staleness;
 use steering::uptime::Uptime;
 use tokio::sync::{Notify, watch};
 
@@ -85,6 +86,8 @@
     pub upstreams: RefCell<Upstreams>,
     /// The other entry VMs.
     pub members: RefCell<Members>,
+    /// Stamps of peers' heartbeats, which date the next ones.
+    pub echoes: RefCell<Echoes>,
     /// This VM's own membership entry, sent in heartbeats.
     pub own_member: RefCell<Member>,
     /// Limits how fast the share of cross-region requests changes.
@@ -160,6 +163,7 @@
                 MEMBER_TIMEOUT,
                 BUDGET_SHARE_RETENTION,
             )),
+            echoes: RefCell::new(Echoes::new(rand::random(), now)),
             own_member: RefCell::new(member),
             cross_region: RefCell::new(Limiter::new(bounds.max_shift, now)),
             retry_budget: RefCell::new(Budget::new(limits, now)),
@@ -234,15 +238,16 @@
         }
     }
 
-    /// Records that the store responded for `feed`, with its changes up to `revision`.
-    pub fn record_store_response(&self, feed: Feed, revision: u64) {
+    /// Records that the store responded for `feed`, with its changes up to `revision`. The response
+    /// was made at `made` or later.
+    pub fn record_store_response(&self, feed: Feed, revision: u64, made: Millis) {
         let now = self.clock.now();
         let mut responses = self.last_store_response.get();
         responses[feed as usize] = Some(now);
         self.last_store_response.set(responses);
         // A response that is older than the known changes is out of date.
         if revision >= self.catalogue.borrow().revision(feed) {
-            self.confirm(feed, now - TRANSIT);
+            self.confirm(feed, made);
         }
         self.merge_store_uptime(Uptime::at(now));
     }
@@ -307,7 +312,8 @@
     /// How long a request of this VM for changes of `feed` waits for them.
     pub fn poll_wait(&self, feed: Feed) -> Millis {
         let fleet = self.members.borrow().alive(self.clock.now()).count() + 1;
-        readers::poll_wait(fleet, self.staleness_limits(feed), self.settings().bounds.settling)
+        let age = self.confirmed_age(feed);
+        readers::poll_wait(fleet, age, self.staleness_limits(feed), self.settings().bounds.settling)
     }
 
     /// The heartbeat addresses of the readers of this VM's region.
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -44,16 +44,20 @@
             core.clock.sleep(until_old.min(ROLE_CHECK_INTERVAL)).await;
             continue;
         }
-        let result = match listed {
-            false => source.list(feed).await.map(Update::Changes),
-            true => source.follow(feed, next_poll(&core, feed, role, failing)).await,
+        let poll = listed.then(|| next_poll(&core, feed, role, failing));
+        let sent = core.clock.now();
+        let result = match poll {
+            None => source.list(feed).await.map(Update::Changes),
+            Some(poll) => source.follow(feed, poll).await,
         };
         match result {
             Ok(Update::Changes(batch)) => {
                 mark_reachable(feed, &mut failing);
-                core.record_store_response(feed, batch.revision);
-                listed = true;
                 let is_empty = batch.changes.is_empty();
+                let waited = poll.filter(|_| is_empty).map_or(Millis::ZERO, |poll| poll.wait);
+                let made = (sent + waited).min(core.clock.now());
+                core.record_store_response(feed, batch.revision, made);
+                listed = true;
                 core.apply(batch, &Origin::Store);
                 if !is_empty {
                     core.clock.sleep(batch_delay(&core, feed)).await;
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use steering::catalogue::Feed;
+use steering::echo::{Echo, Stamp};
 use steering::membership::{Member, Summary};
 use steering::pressure::Pressure;
 use steering::readers::Role;
@@ -67,6 +68,16 @@
     const NONE: Extension = Extension { complete_after: [u64::MAX; 2], asks: false };
 }
 
+/// What follows an [`Extension`] in the same datagram. Without it, a heartbeat can't be dated, and
+/// confirms no copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Timing {
+    /// When the sender sent the heartbeat.
+    stamp: Stamp,
+    /// The receiver's stamp, if the sender knows one.
+    echo: Option<Echo>,
+}
+
 /// A revision that a peer has and this VM lacks.
 #[derive(Clone, Debug)]
 pub struct NewerRevision {
@@ -117,7 +128,7 @@
     let summaries = core.members.borrow().summaries(SUMMARIES, now, &mut rand::rng());
     let bytes = encode(core, alive, &summaries, false);
     for target in targets {
-        send_to(socket, &bytes, target).await;
+        send_to(core, socket, &bytes, target).await;
     }
 }
 
@@ -134,14 +145,27 @@
         }
         let is_follower = Feed::ALL.into_iter().any(|feed| core.role(feed) != Role::Reader);
         if is_follower && let Some(reader) = core.reader_addresses().choose(&mut rand::rng()) {
-            send_to(&socket, &encode(&core, Vec::new(), &[], true), *reader).await;
+            send_to(&core, &socket, &encode(&core, Vec::new(), &[], true), *reader).await;
         }
         core.clock.sleep(ASK_INTERVAL).await;
     }
 }
 
-async fn send_to(socket: &UdpSocket, bytes: &[u8], target: SocketAddr) {
-    if let Err(error) = socket.send_to(bytes, target).await {
+/// Sends an encoded heartbeat, with its timing for `target`.
+async fn send_to(core: &Core, socket: &UdpSocket, bytes: &[u8], target: SocketAddr) {
+    let mut datagram = bytes.to_vec();
+    let timing = {
+        let (echoes, now) = (core.echoes.borrow(), core.clock.now());
+        Timing { stamp: echoes.stamp(now), echo: echoes.echo(target, now) }
+    };
+    if let Err(error) = rmp_serde::encode::write(&mut datagram, &timing) {
+        log::error!(
+            target: "heartbeat", cause:% = error;
+            "can't encode the timing of a heartbeat; not sending it"
+        );
+        return;
+    }
+    if let Err(error) = socket.send_to(&datagram, target).await {
         log::debug!(
             target: "heartbeat", cause:% = error;
             "can't send a heartbeat; the next round follows"
@@ -168,16 +192,17 @@
             }
         };
         match decode(&buffer[..length]) {
-            Ok((heartbeat, extension)) => {
+            Ok((heartbeat, extension, timing)) => {
                 let sender = heartbeat.members.first().cloned();
-                if let Some(joined) = apply(&core, heartbeat, &extension, &on_newer) {
+                let made = sender.as_ref().and_then(|sender| date(&core, sender, timing?));
+                if let Some(joined) = apply(&core, heartbeat, &extension, made, &on_newer) {
                     send_members(&core, &socket, joined).await;
                 }
                 if let Some(sender) = sender {
                     let known = core.members.borrow().superseding(&sender).cloned();
                     if extension.asks || known.is_some() {
                         let bytes = encode(&core, known.into_iter().collect(), &[], false);
-                        send_to(&socket, &bytes, sender.heartbeats).await;
+                        send_to(&core, &socket, &bytes, sender.heartbeats).await;
                     }
                 }
             }
@@ -196,15 +221,24 @@
 async fn send_members(core: &Core, socket: &UdpSocket, joined: SocketAddr) {
     let alive: Vec<Member> = core.members.borrow().alive(core.clock.now()).cloned().collect();
     for members in alive.chunks(JOIN_MEMBERS) {
-        send_to(socket, &encode(core, members.to_vec(), &[], false), joined).await;
+        send_to(core, socket, &encode(core, members.to_vec(), &[], false), joined).await;
     }
 }
 
-/// Applies a heartbeat; returns the address of its sender if that was not alive before.
+/// Records the timing of a heartbeat; returns the earliest moment at which it can have been made.
+fn date(core: &Core, sender: &Member, timing: Timing) -> Option<Millis> {
+    let mut echoes = core.echoes.borrow_mut();
+    echoes.record(sender.heartbeats, timing.stamp, core.clock.now());
+    echoes.made_at(timing.echo?)
+}
+
+/// Applies a heartbeat that was made at `made` or later; returns the address of its sender if that
+/// was not alive before.
 fn apply<OnNewer>(
     core: &Core,
     heartbeat: Heartbeat,
     extension: &Extension,
+    made: Option<Millis>,
     on_newer: &OnNewer,
 ) -> Option<SocketAddr>
 where
@@ -241,7 +275,11 @@
             catalogue.is_listed(feed).then(|| catalogue.revision(feed))
         };
         match claim.standing(revision) {
-            Standing::Confirmed(age) => core.confirm(feed, now - age),
+            Standing::Confirmed(age) => {
+                if let Some(made) = made {
+                    core.confirm(feed, made - age);
+                }
+            }
             Standing::Behind { full } => on_newer(NewerRevision {
                 peer: Arc::clone(&peer),
                 address,
@@ -268,17 +306,27 @@
     }
 }
 
+/// The parts of a datagram.
+type Datagram = (Heartbeat, Extension, Option<Timing>);
+
 /// Decodes a datagram.
-fn decode(bytes: &[u8]) -> Result<(Heartbeat, Extension), rmp_serde::decode::Error> {
+fn decode(bytes: &[u8]) -> Result<Datagram, rmp_serde::decode::Error> {
     let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
     let heartbeat = Heartbeat::deserialize(&mut decoder)?;
-    let extension = match Extension::deserialize(&mut decoder) {
-        Ok(extension) => extension,
-        // VMs of earlier versions send none.
-        Err(rmp_serde::decode::Error::InvalidMarkerRead(_)) => Extension::NONE,
-        Err(error) => return Err(error),
-    };
-    Ok((heartbeat, extension))
+    let extension = optional(Extension::deserialize(&mut decoder))?.unwrap_or(Extension::NONE);
+    let timing = optional(Timing::deserialize(&mut decoder))?;
+    Ok((heartbeat, extension, timing))
+}
+
+/// A part that VMs of earlier versions don't send.
+fn optional<Part>(
+    decoded: Result<Part, rmp_serde::decode::Error>,
+) -> Result<Option<Part>, rmp_serde::decode::Error> {
+    match decoded {
+        Ok(part) => Ok(Some(part)),
+        Err(rmp_serde::decode::Error::InvalidMarkerRead(_)) => Ok(None),
+        Err(error) => Err(error),
+    }
 }
 
 /// Encodes a heartbeat with this VM, `peers` in full and `summaries`; `asks` is whether the
@@ -324,4 +372,5 @@
     for vm in core.members.borrow_mut().expire(now, now - INTERVAL) {
         log::info!(target: "belief", vm = vm.as_ref(); "entry VM dead: no heartbeat in time");
     }
+    core.echoes.borrow_mut().expire(now);
 }
--- a/components/gateway/tests/ages.rs
+++ b/components/gateway/tests/ages.rs
@@ -3,16 +3,89 @@
 mod world;
 
 use clock::{Clock, Millis};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use steering::catalogue::Feed;
+use steering::routing::Effect;
+use world::caller::get;
 use world::probe::Probe;
-use world::run_test;
+use world::{route, run_test, until};
 
 /// The time for which a statement was on its way, or the VM was not running.
 const DELAY: Millis = Millis(1_500);
+/// More VMs than a fleet in which all of them read from the store.
+const FLEET: usize = 20;
+const CLAIM_INTERVAL: Millis = Millis(100);
+/// The bound on configurations of the test settings.
+const CONFIGURATION_BOUND: Millis = Millis(2_000);
 /// An age of two rounded times may be too small by this.
 const ROUNDING: Millis = Millis(2);
 
+/// Guards against requests that are handled by an older configuration: a heartbeat that had waited
+/// in the queue of a frozen VM counted as fresh, and the VM put off reading from the store.
+#[tokio::test]
+async fn a_heartbeat_that_does_not_say_when_it_was_made_confirms_no_copy() {
+    run_test(async |world| {
+        let (_upstream, vm) = world.serving().await;
+        world.store.cut_off("a");
+        let mut probe = Probe::open(&world, "probe").await;
+        tokio::time::sleep(DELAY.duration()).await;
+        probe.claim_up_to_date(vm.heartbeats(), 1).await;
+        for feed in Feed::ALL {
+            let age = probe.age(vm.heartbeats(), feed).await.unwrap();
+            assert!(age + ROUNDING >= DELAY, "{feed:?}: {age}");
+        }
+    })
+    .await;
+}
+
+/// Guards against requests that are handled by an older configuration: while heartbeats that had
+/// waited went on to arrive, a VM that relies on its peers never read a change from the store.
+#[tokio::test]
+async fn a_change_is_in_force_within_its_bound_while_delayed_heartbeats_arrive() {
+    run_test(async |world| {
+        let (_upstream, vm) = world.serving().await;
+        for number in 0..FLEET {
+            let mut probe = Probe::open(&world, &format!("probe{number}")).await;
+            let address = vm.heartbeats();
+            tokio::task::spawn_local(async move {
+                loop {
+                    probe.claim_up_to_date(address, 1).await;
+                    tokio::time::sleep(CLAIM_INTERVAL.duration()).await;
+                }
+            });
+        }
+        tokio::time::sleep(Millis(3_000).duration()).await;
+        world.declare_with(2, |configuration| {
+            configuration.routes.push(Arc::new(route("/new/", Effect::Idempotent)));
+        });
+        let mut caller = vm.connect().await;
+        let in_force =
+            until(async || caller.request(&get("/new/1", "n")).await.unwrap().status == 200);
+        let in_force = tokio::time::timeout(CONFIGURATION_BOUND.duration(), in_force).await;
+        assert!(in_force.is_ok(), "the old configuration is in force after the bound");
+    })
+    .await;
+}
+
+/// Guards against requests that are handled by an older configuration: a response of the store that
+/// had waited while the VM was frozen counted as fresh.
+#[tokio::test]
+async fn a_response_of_the_store_confirms_no_later_state_than_its_own() {
+    run_test(async |world| {
+        let (_upstream, vm) = world.serving().await;
+        let mut probe = Probe::open(&world, "probe").await;
+        world.store.delay_responses("a", DELAY);
+        until(async || world.store.delayed() >= 2).await;
+        world.store.cut_off("a");
+        for feed in Feed::ALL {
+            let age = probe.age(vm.heartbeats(), feed).await.unwrap();
+            assert!(age + ROUNDING >= DELAY, "{feed:?}: {age}");
+        }
+    })
+    .await;
+}
+
 /// Guards against requests that are handled by an older configuration: the steady clock of a
 /// suspended VM stands still, so that the VM took its copy for younger than it was when it woke up.
 #[tokio::test]
--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod choice;
 pub mod class;
 pub mod cross_region;
+pub mod echo;
 pub mod entry_selection;
 mod geography;
 pub mod hedge;
--- a/components/steering/src/readers.rs
+++ b/components/steering/src/readers.rs
@@ -61,10 +61,11 @@
     ranked
 }
 
-/// How long a reader's request waits for changes. A response confirms the copies of the whole
-/// region, so in a large fleet it must come before they are old enough for questions. Everywhere,
-/// a connection that went silent must have been replaced within the settling time.
-pub fn poll_wait(fleet: usize, limits: Limits, settling: Millis) -> Millis {
+/// How long a reader's request waits for changes, if its copy was confirmed `age` ago. A response
+/// confirms the copies of the whole region, so in a large fleet it must come before they are old
+/// enough for questions. Everywhere, a connection that went silent must have been replaced within
+/// the settling time.
+pub fn poll_wait(fleet: usize, age: Option<Millis>, limits: Limits, settling: Millis) -> Millis {
     let wait = MAX_POLL_WAIT.min(Millis(settling.0 / 2));
-    if fleet <= SMALL_FLEET { wait } else { wait.min(limits.ask) }
+    if fleet <= SMALL_FLEET { wait } else { wait.min(limits.ask - age.unwrap_or_default()) }
 }
--- a/components/steering/src/staleness.rs
+++ b/components/steering/src/staleness.rs
@@ -7,10 +7,6 @@
 
 use clock::Millis;
 
-/// Time that a response of the store or a heartbeat may have been on its way. The sender can't
-/// count it, so the receiver adds it to the age of the confirmation.
-pub const TRANSIT: Millis = Millis(100);
-
 /// The part of the bound, as a divisor, after which a VM asks a reader.
 const ASK_DIVISOR: u64 = 4;
 /// The part of the bound, as a divisor, after which a VM reads from the store. The rest is for the
@@ -47,7 +43,7 @@
 /// What a claim means for the receiver's copy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
-    /// It was up to date this long ago.
+    /// It was up to date this long before the claim was made.
     Confirmed(Millis),
     /// It lacks changes.
     Behind {
@@ -73,7 +69,7 @@
         let is_complete = revision >= self.complete_after;
         match self.age {
             _ if self.newest > revision => Standing::Behind { full: !is_complete },
-            Some(age) if is_complete => Standing::Confirmed(age + TRANSIT),
+            Some(age) if is_complete => Standing::Confirmed(age),
             _ => Standing::Unknown,
         }
     }
