Ask a peer for changes that the store's responses lack

What callers saw: requests that are handled by an older configuration, by a VM that reads from the store and knows from its peers that it lacks a change.

Cause: a VM that follows the store ignored newer revisions of its peers for 700 ms after each response of the store, whatever the response said. With polls that end more often than that it never asked. And a response of the store that was older than what a peer had confirmed the copy, so that the copy counted as current and the peers of the VM put off their own reading. Class: a source is trusted against evidence.

Change: a reader that hears of a newer revision waits for one more poll of its own, and then fetches from the peer if it still lacks the change. A response of the store older than the newest revision that a peer has told confirms nothing, and the next poll follows after a pause. A reader's poll waits for at least a quarter of the age for questions, since its copy may stay unconfirmed.

Tests: the two new ones in gateway/tests/ages failed before (the old configuration in force after the bound of 2 s; a copy 627 ms old after 1.5 s without confirmation).

--- a/components/gateway/src/changes.rs
+++ b/components/gateway/src/changes.rs
@@ -1,6 +1,7 @@
 //! Changes that entry VMs fetch from a peer when they don't get them from the store.
 
 use crate::core::{Core, Origin};
+use crate::follow;
 use crate::heartbeat::NewerRevision;
 use crate::reply::{Body, Reply};
 use bytes::Bytes;
@@ -14,10 +15,8 @@
 use steering::catalogue::{Batch, Feed};
 use steering::readers::Role;
 
-/// A reader that received a response of the store within this time doesn't ask peers: the change
-/// reaches it from the store within a fraction of this.
-const STORE_RESPONSE_VALIDITY: Millis = Millis(700);
-/// How long a reader waits for the store to send a change that a peer already has.
+/// How long a reader waits, once its next poll is due, for the store to send a change that a peer
+/// already has.
 const STORE_READ_DELAY: Millis = Millis(300);
 /// Time for a complete request to a peer.
 const REQUEST_TIMEOUT: Millis = Millis(800);
@@ -65,8 +64,9 @@
 }
 
 impl Puller {
-    /// Fetches from a peer with a newer revision, unless the changes are likely to come from
-    /// elsewhere or a request is in flight.
+    /// Fetches from a peer with a newer revision, unless another peer is likely to need no full
+    /// listing or a request is in flight. A reader gives the store time to send the changes, but
+    /// doesn't rely on it: the store's responses may be older than the peer's copy.
     pub fn pull(self: &Rc<Puller>, core: &Rc<Core>, newer: NewerRevision) {
         let feed = newer.feed;
         if self.is_fetching[feed as usize].get() || is_expected_elsewhere(core, &newer) {
@@ -76,7 +76,7 @@
         let (puller, core) = (Rc::clone(self), Rc::clone(core));
         tokio::task::spawn_local(async move {
             if core.role(feed) == Role::Reader && core.catalogue.borrow().is_listed(feed) {
-                core.clock.sleep(STORE_READ_DELAY).await;
+                core.clock.sleep(follow::batch_delay(&core, feed) + STORE_READ_DELAY).await;
             }
             if core.catalogue.borrow().revision(feed) < newer.revision {
                 fetch(&core, newer).await;
@@ -86,18 +86,11 @@
     }
 }
 
-/// Whether the changes will come from the store, or from a peer that needs no full listing.
+/// Whether the changes are likely to come from a peer that needs no full listing.
 fn is_expected_elsewhere(core: &Core, newer: &NewerRevision) -> bool {
-    if !core.catalogue.borrow().is_listed(newer.feed) {
-        return false;
-    }
-    let is_reader = core.role(newer.feed) == Role::Reader;
-    let response = core.last_store_response(newer.feed);
-    let follows_store =
-        is_reader && response.is_some_and(|at| core.clock.now() < at + STORE_RESPONSE_VALIDITY);
     let limit = core.staleness_limits(newer.feed).ask;
     let is_recent = core.confirmed_age(newer.feed).is_some_and(|age| age < limit);
-    follows_store || (newer.full && is_recent)
+    core.catalogue.borrow().is_listed(newer.feed) && newer.full && is_recent
 }
 
 async fn fetch(core: &Core, newer: NewerRevision) {
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -96,8 +96,8 @@
     pub retry_budget: RefCell<Budget>,
     /// Chooses among the services of routes with a traffic split.
     pub splitter: RefCell<Splitter>,
-    /// When the store last responded to this VM, by feed.
-    pub last_store_response: Cell<[Option<Millis>; 2]>,
+    /// The newest revision of each feed that a peer has.
+    pub newest_of_peers: Cell<[u64; 2]>,
     /// The latest span in which the store responded to this VM or its peers without an outage.
     pub store_uptime: Cell<Option<Uptime>>,
     /// When the store last confirmed, directly or through peers, that this VM's copy of each feed
@@ -168,7 +168,7 @@
             cross_region: RefCell::new(Limiter::new(bounds.max_shift, now)),
             retry_budget: RefCell::new(Budget::new(limits, now)),
             splitter: RefCell::default(),
-            last_store_response: Cell::default(),
+            newest_of_peers: Cell::default(),
             store_uptime: Cell::default(),
             confirmed: Cell::default(),
             state_changed: Notify::new(),
@@ -239,17 +239,23 @@
     }
 
     /// Records that the store responded for `feed`, with its changes up to `revision`. The response
-    /// was made at `made` or later.
-    pub fn record_store_response(&self, feed: Feed, revision: u64, made: Millis) {
-        let now = self.clock.now();
-        let mut responses = self.last_store_response.get();
-        responses[feed as usize] = Some(now);
-        self.last_store_response.set(responses);
-        // A response that is older than the known changes is out of date.
-        if revision >= self.catalogue.borrow().revision(feed) {
+    /// was made at `made` or later. Returns whether it is current: one that is older than the
+    /// changes known here or to a peer is out of date.
+    pub fn record_store_response(&self, feed: Feed, revision: u64, made: Millis) -> bool {
+        let known = self.catalogue.borrow().revision(feed);
+        let is_current = revision >= known.max(self.newest_of_peers.get()[feed as usize]);
+        if is_current {
             self.confirm(feed, made);
         }
-        self.merge_store_uptime(Uptime::at(now));
+        self.merge_store_uptime(Uptime::at(self.clock.now()));
+        is_current
+    }
+
+    /// Records that a peer has changes of `feed` up to `revision`.
+    pub fn record_peer_revision(&self, feed: Feed, revision: u64) {
+        let mut newest = self.newest_of_peers.get();
+        newest[feed as usize] = newest[feed as usize].max(revision);
+        self.newest_of_peers.set(newest);
     }
 
     /// Merges a span in which the store responded to this VM or a peer. An entry that vanishes
@@ -334,11 +340,6 @@
         members.alive(now).filter(is_near).collect()
     }
 
-    /// When the store last responded to this VM for `feed`.
-    pub fn last_store_response(&self, feed: Feed) -> Option<Millis> {
-        self.last_store_response.get()[feed as usize]
-    }
-
     /// Derives routes and upstreams from the catalogue again.
     fn refresh(&self, feed: Feed) {
         let catalogue = self.catalogue.borrow();
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -24,7 +24,8 @@
 /// How long a poll waits after a failed one: a poll that was sent during an outage gets no
 /// response, and must not delay for long that the recovered store is noticed.
 const POLL_WAIT_AFTER_FAILURE: Millis = Millis(100);
-/// Delay after a response with changes, so that changes in quick succession share a poll.
+/// Delay after a response with changes, so that changes in quick succession share a poll, and after
+/// one that is out of date.
 const BATCH_DELAY: Millis = Millis(100);
 /// For upstreams, which join and leave in long series, the delay is the drain bound divided by
 /// this. The rest of the bound is for dissemination among VMs and for requests in flight.
@@ -56,10 +57,10 @@
                 let is_empty = batch.changes.is_empty();
                 let waited = poll.filter(|_| is_empty).map_or(Millis::ZERO, |poll| poll.wait);
                 let made = (sent + waited).min(core.clock.now());
-                core.record_store_response(feed, batch.revision, made);
+                let is_current = core.record_store_response(feed, batch.revision, made);
                 listed = true;
                 core.apply(batch, &Origin::Store);
-                if !is_empty {
+                if !is_empty || !is_current {
                     core.clock.sleep(batch_delay(&core, feed)).await;
                 }
             }
@@ -101,7 +102,8 @@
     Poll { after, wait, timeout }
 }
 
-fn batch_delay(core: &Core, feed: Feed) -> Millis {
+/// The delay after a response with changes of `feed`, or with an older state.
+pub fn batch_delay(core: &Core, feed: Feed) -> Millis {
     match feed {
         Feed::Operators => BATCH_DELAY,
         Feed::Upstreams => BATCH_DELAY.max(Millis(core.settings().bounds.drain.0 / DRAIN_DIVISOR)),
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -274,6 +274,7 @@
             let catalogue = core.catalogue.borrow();
             catalogue.is_listed(feed).then(|| catalogue.revision(feed))
         };
+        core.record_peer_revision(feed, claim.newest);
         match claim.standing(revision) {
             Standing::Confirmed(age) => {
                 if let Some(made) = made {
--- a/components/gateway/tests/ages.rs
+++ b/components/gateway/tests/ages.rs
@@ -18,6 +18,8 @@
 const CLAIM_INTERVAL: Millis = Millis(100);
 /// The bound on configurations of the test settings.
 const CONFIGURATION_BOUND: Millis = Millis(2_000);
+/// Polls wait for half of it, so that the store responds to a VM all the time.
+const SHORT_SETTLING: Millis = Millis(1_000);
 /// An age of two rounded times may be too small by this.
 const ROUNDING: Millis = Millis(2);
 
@@ -107,3 +109,49 @@
     })
     .await;
 }
+
+/// Guards against requests that are handled by an older configuration: a VM to which the store
+/// responded with an older state knew from a peer that it lacked a change, and left the change to the
+/// store.
+#[tokio::test]
+async fn a_vm_that_a_peer_shows_to_be_behind_the_store_gets_the_change_from_the_peer() {
+    run_test(async |world| {
+        let (_upstream, peer) = world.serving().await;
+        let seed = peer.heartbeats();
+        let vm = world.gateway_with("b", |settings| {
+            settings.seeds = vec![seed];
+            settings.bounds.settling = SHORT_SETTLING;
+        });
+        let vm = vm.await;
+        vm.await_ready().await;
+        world.store.serve_outdated("b");
+        world.declare_with(2, |configuration| {
+            configuration.routes.push(Arc::new(route("/new/", Effect::Idempotent)));
+        });
+        let mut caller = vm.connect().await;
+        let in_force =
+            until(async || caller.request(&get("/new/1", "n")).await.unwrap().status == 200);
+        let in_force = tokio::time::timeout(CONFIGURATION_BOUND.duration(), in_force).await;
+        assert!(in_force.is_ok(), "the old configuration is in force after the bound");
+    })
+    .await;
+}
+
+/// Guards against requests that are handled by an older configuration: a response of the store that
+/// is older than what a peer has counted as a confirmation of the copy.
+#[tokio::test]
+async fn a_response_of_the_store_that_is_older_than_a_peers_copy_confirms_nothing() {
+    run_test(async |world| {
+        let (_upstream, vm) = world.serving().await;
+        world.store.serve_outdated("a");
+        let mut probe = Probe::open(&world, "probe").await;
+        probe.claim_up_to_date(vm.heartbeats(), 100).await;
+        // A poll that was sent before waits for 1.5 s at most, the next ones confirm nothing.
+        tokio::time::sleep(Millis(1_500).duration() + DELAY.duration()).await;
+        for feed in Feed::ALL {
+            let age = probe.age(vm.heartbeats(), feed).await.unwrap();
+            assert!(age + ROUNDING >= DELAY, "{feed:?}: {age}");
+        }
+    })
+    .await;
+}
--- a/components/steering/src/readers.rs
+++ b/components/steering/src/readers.rs
@@ -15,6 +15,10 @@
 /// The longest time that a request for changes waits.
 const MAX_POLL_WAIT: Millis = Millis(2_000);
 
+/// The shortest wait of a reader's request, as a divisor of the age for questions; it limits the
+/// calls when the copy isn't confirmed.
+const MIN_WAIT_DIVISOR: u64 = 4;
+
 /// How a VM gets the changes of a feed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -67,5 +71,9 @@
 /// the settling time.
 pub fn poll_wait(fleet: usize, age: Option<Millis>, limits: Limits, settling: Millis) -> Millis {
     let wait = MAX_POLL_WAIT.min(Millis(settling.0 / 2));
-    if fleet <= SMALL_FLEET { wait } else { wait.min(limits.ask - age.unwrap_or_default()) }
+    if fleet <= SMALL_FLEET {
+        return wait;
+    }
+    let shortest = Millis(limits.ask.0 / MIN_WAIT_DIVISOR);
+    wait.min(limits.ask - age.unwrap_or_default()).max(shortest)
 }
