Refuse requests that may go on after the end of a stopping process

What callers saw, as another operator reports: in a planned stop, requests that came late in the grace period were passed on and cut at its end, among them orders. Here an order that comes 1.5 s after SIGTERM with a deadline beyond the end of the process is sent to an upstream and answered 504 at the end, while the upstream is at work on it.

Cause: a stopping VM compared the mean service time of the route, plus 2 s, with the time that is left. An upstream may take until the request's deadline. Class: admission by the usual case where the promise is for every case.

Change: a request is refused as not run, with Retry-After and the end of the connection, if its deadline (the earlier of the caller's and the route's), plus the margin for a late statement of the upstream, lies beyond the end of the process. The check of the mean stays. Callers come back to another VM at once.

Test: gateway/tests/beliefs, a_stopping_vm_sends_no_request_that_may_go_on_after_its_end, on a kept and on a new connection, failed before (504 instead of 503); an order whose deadline is in time is served.

Requests that were sent before the stop began and take longer than the grace period are still cut.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -24,7 +24,7 @@
 const SKIP_TIMEOUT: Millis = Millis(250);
 /// Time to wait for the response beyond the deadline: an upstream that rejects the request at the
 /// deadline states whether it was executed.
-const DEADLINE_MARGIN: Millis = Millis(40);
+pub const DEADLINE_MARGIN: Millis = Millis(40);
 /// Pieces of a streamed body that are buffered for the caller.
 const MAX_BUFFERED_PIECES: usize = 4;
 
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -96,14 +96,13 @@
         return Reply::failure(Kind::NoUpstream, None);
     };
     progress.service = Arc::clone(&service.name);
-    let service_time = core.upstreams.borrow().service_time(&route.name);
-    if core.stop_deadline().is_some_and(|end| arrived + service_time + STOP_MARGIN > end) {
+    let deadline = arrived + route.timeout.map_or(budget, |timeout| timeout.min(budget));
+    if !fits_before_stop(core, &route, arrived, deadline) {
         progress.reason = "stopping";
         return Reply::failure(Kind::Leaving, Some(MIN_RETRY_AFTER));
     }
     core.retry_budget.borrow_mut().record_request(&service.name, arrived);
-    let timeout = route.timeout.map_or(budget, |timeout| timeout.min(budget));
-    let job = Job { head, body, id, deadline: arrived + timeout };
+    let job = Job { head, body, id, deadline };
     Attempts {
         core,
         route: &route,
@@ -117,6 +116,15 @@
     .await
 }
 
+/// Whether a request that arrived at `arrived` certainly ends before a stopping process does. An
+/// upstream may take until the deadline; what it is still at work on then can't be answered.
+fn fits_before_stop(core: &Core, route: &Route, arrived: Millis, deadline: Millis) -> bool {
+    let service_time = core.upstreams.borrow().service_time(&route.name);
+    core.stop_deadline().is_none_or(|end| {
+        deadline + attempt::DEADLINE_MARGIN <= end && arrived + service_time + STOP_MARGIN <= end
+    })
+}
+
 /// Duration of an attempt that was not queued at the upstream.
 struct Sample {
     took: Millis,
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -265,6 +265,47 @@
     .await;
 }
 
+/// Guards against requests that are cut in a planned stop: orders whose deadline lay beyond the end
+/// of the process were sent to an upstream and answered 504 while it was at work on them.
+#[tokio::test]
+async fn a_stopping_vm_sends_no_request_that_may_go_on_after_its_end() {
+    run_test(async |world| {
+        let upstream = world.upstream("u1").await;
+        world.declare_with(1, |configuration| {
+            let routes = configuration.routes.iter().map(|each| {
+                let timeout = Some(Millis(10_000));
+                Arc::new(steering::routing::Route { timeout, ..(**each).clone() })
+            });
+            configuration.routes = routes.collect();
+        });
+        let vm = world.gateway("a").await;
+        vm.await_ready().await;
+        let mut kept = vm.connect().await;
+        assert_eq!(kept.request(&get("/read/1", "r")).await.unwrap().status, 200);
+        let mut in_time = vm.connect().await;
+        assert_eq!(in_time.request(&get("/read/1", "s")).await.unwrap().status, 200);
+        upstream.script([Behaviour::Hang]);
+        let address = vm.callers();
+        let closing = tokio::task::spawn_local(vm.gateway.close());
+        tokio::time::sleep(Millis(1_500).duration()).await;
+        let before = upstream.executed().len();
+        let mut new = world::caller::Caller::connect(address).await;
+        for (caller, path) in [(&mut kept, "/order/2"), (&mut new, "/read/2")] {
+            // 5.6 s of the grace period of 6 s are for requests.
+            let text = post(path, path, "x").replace("1500", "4200");
+            let reply = caller.request(&text).await.unwrap();
+            assert_eq!((reply.status, reply.closes_connection()), (503, true));
+            assert!(reply.head.headers.get("retry-after").is_some());
+        }
+        assert_eq!(upstream.executed().len(), before);
+        upstream.script([Behaviour::Slow(Millis(1_000))]);
+        let text = post("/order/3", "t", "x").replace("1500", "3000");
+        assert_eq!(in_time.request(&text).await.unwrap().status, 200);
+        closing.await.unwrap();
+    })
+    .await;
+}
+
 /// Guards against long polls during an outage: one that was sent while the store was silent delayed
 /// for 3 s that its recovery, and a configuration accepted right after it, were noticed.
 #[tokio::test]
