Never send the same request id twice on a connection

Callers were told "not run" for requests that the upstream was running, or such a request ran at a second upstream.

Can it happen here? A response to another id is skipped, which a test now shows for refusals too. But a caller that comes back with the id of a refused request, or two requests without an id, could be sent on the connection that has the earlier refusal, and a repetition of it counted as the response.

Cause: responses are told apart by the id alone, and a connection could carry the same id, or none, twice. Class: an identifier is taken to be unique without being kept so.

Change: a connection remembers the hashes of the last 64 ids that were sent on it, and the pool gives no connection for an id that it has carried; a request without an id gets a new connection.

Sixty-five requests later a repetition could still be mistaken if the id comes again.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -44,7 +44,7 @@
 /// Sends `job` to `endpoint` and waits for the response.
 pub async fn run(core: &Rc<Core>, job: &Job, endpoint: &Rc<Endpoint>) -> Outcome {
     let in_flight = endpoint.begin_request();
-    let Some(connection) = open(core, endpoint, job.deadline).await else {
+    let Some(connection) = open(core, endpoint, &job.id, job.deadline).await else {
         return Outcome::Failed(Cause::Connect);
     };
     let now = core.clock.now();
@@ -75,7 +75,8 @@
     connection: Connection,
     in_flight: InFlight,
 ) -> Outcome {
-    let Connection { mut reader, mut writer } = connection;
+    let Connection { mut reader, mut writer, sent: mut earlier } = connection;
+    earlier.record(&job.id);
     let bytes = encode_request(core, job, endpoint);
     let mut sent = false;
     let response = {
@@ -107,7 +108,7 @@
     {
         endpoint.record_load(load, core.clock.now());
     }
-    let connection = sent.then_some(Connection { reader, writer });
+    let connection = sent.then_some(Connection { reader, writer, sent: earlier });
     if response.status == 421 || response.headers.get(names.not_run).is_some() {
         return not_executed(core, endpoint, &response, connection);
     }
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -6,10 +6,12 @@
 use clock::Millis;
 use http1::net::Timeouts;
 use http1::{Headers, Reader, net};
+use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time to open a connection in addition to the network latency; an upstream that takes longer is
 /// treated as unreachable.
@@ -22,6 +24,10 @@
 /// receive buffer.
 const IDLE_CHECK_INTERVAL: Millis = Millis(500);
 
+/// Latest requests on a connection that are remembered. An upstream that sends a response once more
+/// does so soon after the first time.
+const REMEMBERED_REQUESTS: usize = 64;
+
 /// A connection to an upstream.
 #[derive(Debug)]
 pub struct Connection {
@@ -29,6 +35,28 @@
     pub reader: Reader<OwnedReadHalf>,
     /// Writes requests.
     pub writer: Writer,
+    /// The latest requests that were sent.
+    pub sent: Sent,
+}
+
+/// The ids of the latest requests that were sent on a connection. An upstream may send a response
+/// once more, and only the id tells that it belongs to an earlier request; so no id is sent twice.
+#[derive(Debug, Default)]
+pub struct Sent(VecDeque<u64>);
+
+impl Sent {
+    /// Whether the response to a request with the id `id` can be told from those to earlier ones.
+    pub fn allows(&self, id: &[u8]) -> bool {
+        self.0.is_empty() || (!id.is_empty() && !self.0.contains(&xxh3_64(id)))
+    }
+
+    /// Records a request with the id `id`.
+    pub fn record(&mut self, id: &[u8]) {
+        if self.0.len() == REMEMBERED_REQUESTS {
+            self.0.pop_front();
+        }
+        self.0.push_back(xxh3_64(id));
+    }
 }
 
 /// The writing half. Dropping it does not shut it down: a shutdown would still deliver the bytes in
@@ -58,12 +86,17 @@
     }
 }
 
-/// Takes an idle connection to `endpoint`, or opens one; `None` if that fails, is not complete by
-/// `deadline`, or the upstream has sent bytes already.
-pub async fn open(core: &Core, endpoint: &Endpoint, deadline: Millis) -> Option<Connection> {
+/// Takes an idle connection to `endpoint` for a request with the id `id`, or opens one; `None` if
+/// that fails, is not complete by `deadline`, or the upstream has sent bytes already.
+pub async fn open(
+    core: &Core,
+    endpoint: &Endpoint,
+    id: &[u8],
+    deadline: Millis,
+) -> Option<Connection> {
     let started = core.clock.now();
     loop {
-        let idle = endpoint.pool.borrow_mut().take(started);
+        let idle = endpoint.pool.borrow_mut().take(id, started);
         let Some(mut connection) = idle else {
             break;
         };
@@ -96,7 +129,7 @@
         );
         return None;
     }
-    Some(Connection { reader, writer: Writer(Some(writer)) })
+    Some(Connection { reader, writer: Writer(Some(writer)), sent: Sent::default() })
 }
 
 /// Closes idle connections that can't be used again, until the process ends.
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -28,10 +28,12 @@
 }
 
 impl Pool {
-    /// Takes the most recently used connection, after dropping expired ones.
-    pub fn take(&mut self, now: Millis) -> Option<Connection> {
+    /// Takes the most recently used connection for a request with the id `id`, after dropping
+    /// expired ones.
+    pub fn take(&mut self, id: &[u8], now: Millis) -> Option<Connection> {
         self.idle.retain(|idle| now < idle.reuse_until);
-        self.idle.pop().map(|idle| idle.connection)
+        let position = self.idle.iter().rposition(|idle| idle.connection.sent.allows(id))?;
+        Some(self.idle.remove(position).connection)
     }
 
     /// Closes expired connections, those that the upstream closed, and those on which it sent
--- a/components/gateway/tests/upstreams.rs
+++ b/components/gateway/tests/upstreams.rs
@@ -325,3 +325,31 @@
     })
     .await;
 }
+
+/// Guards against requests that run twice, or run after they were refused: an upstream sent an
+/// earlier statement that it did not execute a request once more, and it was taken for the response
+/// to a request that the upstream was executing.
+#[tokio::test]
+async fn a_repeated_statement_of_an_upstream_refuses_no_other_request() {
+    // The statement is about another request, about an earlier one with the same id, or about one
+    // without an id.
+    for (first, second) in [("a", "b"), ("a", "a"), ("", "")] {
+        run_test(async |world| {
+            let (preferred, other, vm) = two_upstreams(&world, Behaviour::Shed).await;
+            other.script([Behaviour::Shed, Behaviour::Respond]);
+            let order = |path, id: &str| match id {
+                "" => post(path, "", "x").replace("test-id: \r\n", ""),
+                id => post(path, id, "x"),
+            };
+            let refused = send(&vm, &order("/order/1", first)).await;
+            assert_eq!(refused.status, 503, "{first:?}");
+            preferred.script([Behaviour::ShedAgain]);
+            let reply = send(&vm, &order("/order/2", second)).await;
+            let executed = [preferred.paths(), other.paths()].concat();
+            let runs = executed.iter().filter(|path| *path == "/order/2").count();
+            assert_eq!(runs, 1, "{first:?}, {second:?}: {executed:?}");
+            assert!(matches!(reply.status, 200 | 502), "{first:?}, {second:?}: {}", reply.status);
+        })
+        .await;
+    }
+}
--- a/components/gateway/tests/world/upstream.rs
+++ b/components/gateway/tests/world/upstream.rs
@@ -23,6 +23,11 @@
     Hang,
     /// Sheds the request, stating that it did not execute it.
     Shed,
+    /// Sends the connection's last statement that it did not execute a request once more, executes
+    /// this one and responds.
+    ShedAgain,
+    /// Sends these bytes, with the id of the request in place of `{id}`, and closes the connection.
+    Cut(&'static str),
     /// Responds with 421: another upstream has its address.
     Misdirected,
     /// Responds with 500.
@@ -159,6 +164,8 @@
             return;
         }
         let mut reader = Reader::new(stream);
+        // The last statement on this connection that a request was not executed.
+        let mut refused = Vec::new();
         while let Ok(head) = reader.request(16_384).await {
             let Ok(body) = reader.body(10_000_000).await else {
                 return;
@@ -172,7 +179,7 @@
                 let body = String::from_utf8_lossy(&body).into_owned();
                 self.executed.borrow_mut().push(Executed { head: head.clone(), body });
             }
-            if !self.perform(&mut reader, &head, behaviour).await {
+            if !self.perform(&mut reader, &head, behaviour, &mut refused).await {
                 return;
             }
         }
@@ -184,6 +191,7 @@
         reader: &mut Reader<TcpStream>,
         head: &Request,
         behaviour: Behaviour,
+        refused: &mut Vec<u8>,
     ) -> bool {
         let id = head.headers.text("test-id").unwrap_or_default().to_owned();
         let body = format!("{} {}", self.id, head.path());
@@ -201,7 +209,19 @@
             }
             Behaviour::Hang => self.execute(reader, head, Millis::from_secs(60)).await,
             Behaviour::Shed => {
-                write(reader, &unsigned_response(503, &id, "test-not-run: 1\r\n")).await
+                let refusal = refusal(&id);
+                let written = write(reader, &refusal).await;
+                *refused = refusal;
+                written
+            }
+            Behaviour::ShedAgain => {
+                write(reader, refused).await
+                    && self.execute(reader, head, Millis(100)).await
+                    && write(reader, &signed_response(200, &id, &body)).await
+            }
+            Behaviour::Cut(bytes) => {
+                write(reader, bytes.replace("{id}", &id).as_bytes()).await;
+                false
             }
             Behaviour::Misdirected => write(reader, &unsigned_response(421, &id, "")).await,
             Behaviour::Fail => write(reader, &signed_response(500, &id, "failed")).await,
@@ -289,6 +309,15 @@
     bytes
 }
 
+/// A response that states that the request was not executed.
+fn refusal(id: &str) -> Vec<u8> {
+    // Without an id, the request had none.
+    match id {
+        "" => b"HTTP/1.1 503 X\r\nContent-Length: 0\r\ntest-not-run: 1\r\n\r\n".to_vec(),
+        id => unsigned_response(503, id, "test-not-run: 1\r\n"),
+    }
+}
+
 fn unsigned_response(status: u16, id: &str, fields: &str) -> Vec<u8> {
     format!("HTTP/1.1 {status} X\r\ntest-id: {id}\r\nContent-Length: 0\r\n{fields}\r\n")
         .into_bytes()
