Reset the connection of an HTTP/1.0 caller when a response breaks off

Not with heads: gateway/tests/upstreams now cuts the responses to a read and to an order at every byte of seven heads, with HTTP/1.0, bare line feeds, chunks, no length, and behind interim responses. If the upstream broke off, the connection was closed in order, and the caller took what it had for complete.

Cause: the end of the connection ends the body there, and both ends looked the same. Class: a failure is reported by the signal that means success.

Change: the connection is reset in that case. The reader of a connection that waits for its caller to close now also ends when the writer has ended.

--- a/components/gateway/src/inbound.rs
+++ b/components/gateway/src/inbound.rs
@@ -211,9 +211,12 @@
     async fn await_close(&self, reader: &mut Reader<OwnedReadHalf>) -> bool {
         let mut byte = [0; 1];
         loop {
-            match reader.stream_mut().peek(&mut byte).await {
-                Ok(length) if length > 0 => {}
-                _ => return self.activity.pending.get() > 0,
+            tokio::select! {
+                () = self.queue.closed() => return false,
+                peeked = reader.stream_mut().peek(&mut byte) => match peeked {
+                    Ok(length) if length > 0 => {}
+                    _ => return self.activity.pending.get() > 0,
+                },
             }
             // Bytes after the last request are not read, and hide that the caller disconnects.
             tokio::select! {
--- a/components/gateway/src/responses.rs
+++ b/components/gateway/src/responses.rs
@@ -4,7 +4,7 @@
 use crate::reply::{Body, Piece, Reply};
 use bytes::{Bytes, BytesMut};
 use clock::Millis;
-use http1::encode;
+use http1::{encode, net};
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
@@ -53,6 +53,10 @@
         activity.pending.set(activity.pending.get().saturating_sub(1));
         activity.last_response.set(core.clock.now());
         if !written {
+            // HTTP/1.0 has no chunks: an orderly end would make the response look complete.
+            if !next.http11 {
+                reset(write);
+            }
             return false;
         }
         if close {
@@ -63,6 +67,20 @@
     write.shutdown().await.is_ok()
 }
 
+/// Ends the connection with a reset once its reader ends too, which it does after the only request
+/// of an HTTP/1.0 caller.
+fn reset(write: OwnedWriteHalf) {
+    if let Err(error) = net::reset_on_close(write.as_ref()) {
+        log::warn!(
+            target: "caller", cause:% = error;
+            "can't reset the connection after a truncated response; closing it"
+        );
+        return;
+    }
+    // Dropping it would shut the connection down in order first.
+    write.forget();
+}
+
 struct ResponseWriter<'a> {
     core: &'a Core,
     id: &'a Bytes,
--- a/components/gateway/tests/upstreams.rs
+++ b/components/gateway/tests/upstreams.rs
@@ -3,8 +3,11 @@
 mod world;
 
 use clock::Millis;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use steering::routing::Readiness;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use world::caller::{Reply, get, post};
 use world::upstream::{Behaviour, Standin};
 use world::{Vm, World, entry, run_test};
@@ -353,3 +356,56 @@
         .await;
     }
 }
+
+/// Guards against responses that look complete and aren't: an upstream closes the connection within
+/// the head of its response, at any byte of heads of several kinds.
+#[tokio::test]
+async fn a_response_that_ends_within_its_head_is_never_a_success() {
+    const FIELDS: &str = "test-id: {id}\r\ntest-signature: s\r\nContent-Length: 5\r\n\r\n";
+    let crlf = format!("HTTP/1.1 200 OK\r\n{FIELDS}");
+    let heads = [
+        crlf.clone(),
+        crlf.replace("1.1", "1.0"),
+        crlf.replace("\r\n", "\n"),
+        crlf.replace("Content-Length: 5", "Transfer-Encoding: chunked"),
+        crlf.replace("Content-Length: 5\r\n", ""),
+        format!("HTTP/1.1 100 Continue\r\n\r\n{crlf}"),
+        format!("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n{crlf}"),
+    ];
+    run_test(async |world| {
+        let (upstream, vm) = world.serving().await;
+        let mut caller = vm.connect().await;
+        for head in heads {
+            for length in 0..head.len() {
+                let cut: &'static str = Box::leak(head[..length].to_owned().into_boxed_str());
+                upstream.script([Behaviour::Cut(cut)]);
+                for text in [get("/read/1", "r"), post("/order/1", "o", "x")] {
+                    let reply = caller.request(&text).await.unwrap();
+                    assert_eq!(reply.status, 502, "{cut:?}");
+                }
+            }
+        }
+    })
+    .await;
+}
+
+/// Guards against responses that look complete and aren't: a body without a length ends with the
+/// connection for an HTTP/1.0 caller, who took a broken one for complete.
+#[tokio::test]
+async fn a_long_response_that_breaks_off_resets_the_connection_of_an_http_1_0_caller() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\ntest-id: {id}\r\ntest-signature: s\r\n\
+        Transfer-Encoding: chunked\r\n\r\nfffff\r\n";
+    run_test(async |world| {
+        let (upstream, vm) = world.serving().await;
+        let cut = Box::leak(format!("{HEAD}{}", "x".repeat(600_000)).into_boxed_str());
+        upstream.script([Behaviour::Cut(cut)]);
+        let mut caller = TcpStream::connect(vm.callers()).await.unwrap();
+        let text = get("/load/1", "l").replace("HTTP/1.1", "HTTP/1.0");
+        caller.write_all(text.as_bytes()).await.unwrap();
+        let mut received = Vec::new();
+        let end = caller.read_to_end(&mut received).await;
+        assert!(received.starts_with(b"HTTP/1.1 200"));
+        assert_eq!(end.map_err(|error| error.kind()), Err(ErrorKind::ConnectionReset));
+    })
+    .await;
+}
