Honour what upstreams state of themselves in responses

New on the users' pages: an upstream that leaves says so in all its responses, and one that turns a request away with 503 may say for how long it wants nothing from this VM.

Placement passes over such upstreams, and a request that waited for a connection is not sent any more. If all upstreams of a service want a pause, requests are refused at once with the end of the first pause as Retry-After, which is not cut to 1 s then.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -52,7 +52,9 @@
         keep(core, endpoint, connection, None);
         return Outcome::Failed(Cause::Deadline);
     }
-    if !core.upstreams.borrow().contains(endpoint) {
+    let statement = &endpoint.statement;
+    let is_refusing = statement.is_leaving() || statement.is_paused(now);
+    if is_refusing || !core.upstreams.borrow().contains(endpoint) {
         keep(core, endpoint, connection, None);
         return Outcome::Failed(Cause::UpstreamLeft);
     }
@@ -108,6 +110,7 @@
     {
         endpoint.record_load(load, core.clock.now());
     }
+    record_statement(core, endpoint, &response);
     let connection = sent.then_some(Connection { reader, writer, sent: earlier });
     if response.status == 421 || response.headers.get(names.not_run).is_some() {
         return not_executed(core, endpoint, &response, connection);
@@ -116,6 +119,33 @@
     delivery.deliver(response, connection).await
 }
 
+/// Records what the upstream states about itself. Status 421 comes from another upstream, which has
+/// the address now.
+fn record_statement(core: &Core, endpoint: &Endpoint, response: &Response) {
+    if response.status == 421 {
+        return;
+    }
+    let names = core.protocol.names();
+    let (statement, upstream) = (&endpoint.statement, endpoint.entry.id.as_ref());
+    let leaving = response.headers.text(names.leaving);
+    if leaving.is_some_and(|text| core.protocol.parse_leaving(text)) && statement.record_leaving() {
+        log::info!(
+            target: "belief", upstream = upstream;
+            "upstream states that it leaves; sending no more requests to it"
+        );
+    }
+    let pause = response.headers.text(names.retry_after).filter(|_| response.status == 503);
+    let Some(pause) = pause.and_then(|text| core.protocol.parse_pause(text)) else {
+        return;
+    };
+    if pause > Millis::ZERO && statement.record_pause(pause, core.clock.now()) {
+        log::info!(
+            target: "belief", upstream = upstream, pause_ms = pause.0;
+            "upstream wants no requests for a time; using others"
+        );
+    }
+}
+
 /// Reads the response to `job`, skipping responses to earlier requests on the connection. Upstreams
 /// repeat the id of the request, so that bytes without it are no response to any.
 async fn read_response(
--- a/components/gateway/src/endpoint.rs
+++ b/components/gateway/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use crate::Load;
 use crate::pool::Pool;
+use crate::statement::Statement;
 use clock::Millis;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -27,6 +28,8 @@
     pub region: Arc<str>,
     /// Idle connections.
     pub pool: RefCell<Pool>,
+    /// What the upstream has stated in its responses.
+    pub statement: Rc<Statement>,
     in_flight: Cell<u32>,
     report: Cell<Option<LoadReport>>,
     consecutive_failures: Cell<u32>,
@@ -50,12 +53,18 @@
 
 impl Endpoint {
     /// An endpoint without observations.
-    pub fn new(entry: Arc<Upstream>, region: Arc<str>, now: Millis) -> Endpoint {
+    pub fn new(
+        entry: Arc<Upstream>,
+        region: Arc<str>,
+        statement: Rc<Statement>,
+        now: Millis,
+    ) -> Endpoint {
         let cold_until = now + entry.cold_left;
         Endpoint {
             entry,
             region,
             pool: RefCell::default(),
+            statement,
             in_flight: Cell::default(),
             report: Cell::default(),
             consecutive_failures: Cell::default(),
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -273,6 +273,10 @@
         if self.may_have_run {
             return Reply::failure(Kind::UpstreamBroken, None);
         }
+        if let Some(pause) = placement::pause(self.core, self.route, self.service) {
+            progress.reason = "paused";
+            return Reply::failure(Kind::Overloaded, Some(pause.max(MIN_RETRY_AFTER)));
+        }
         let service_time = self.core.upstreams.borrow().service_time(&self.route.name);
         let span = retry_after.unwrap_or(service_time).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Reply::failure(Kind::Overloaded, Some(span))
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod settings;
 mod simple_http;
 mod source;
+mod statement;
 mod upstreams;
 
 pub use process::Gateway;
--- a/components/gateway/src/outcome.rs
+++ b/components/gateway/src/outcome.rs
@@ -20,7 +20,8 @@
     Connect,
     /// The deadline passed before anything was sent.
     Deadline,
-    /// The upstream's entry was removed or replaced before anything was sent.
+    /// Before anything was sent, the upstream's entry was removed or replaced, or it stated that it
+    /// takes no requests.
     UpstreamLeft,
     /// The address belongs to another upstream now (status 421).
     Misdirected,
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -137,13 +137,29 @@
     }
 }
 
-/// Whether an upstream may get the request, whatever its load.
+/// Whether an upstream may get requests of the route at some time.
+fn is_usable(route: &Route, endpoint: &Endpoint) -> bool {
+    let regions = &route.regions;
+    let is_allowed = regions.is_empty() || regions.contains(&endpoint.region);
+    is_allowed && !endpoint.is_replaced() && !endpoint.statement.is_leaving()
+}
+
+/// Time until an upstream takes requests of the route again, if none of them wants any now.
+pub fn pause(core: &Core, route: &Route, service: &Service) -> Option<Millis> {
+    let now = core.clock.now();
+    let upstreams = core.upstreams.borrow();
+    let usable = upstreams.of_service(&service.name).iter();
+    let usable = usable.filter(|endpoint| is_usable(route, endpoint));
+    let until = usable.map(|endpoint| endpoint.statement.paused_until()).min()?;
+    (now < until).then(|| until - now)
+}
+
+/// Whether an upstream may get the request now, whatever its load.
 fn is_eligible(core: &Core, demand: &Demand<'_>, endpoint: &Rc<Endpoint>, now: Millis) -> bool {
-    if endpoint.is_replaced() || demand.tried.contains(&endpoint.entry.id) {
+    if !is_usable(demand.route, endpoint) || endpoint.statement.is_paused(now) {
         return false;
     }
-    let regions = &demand.route.regions;
-    if !regions.is_empty() && !regions.contains(&endpoint.region) {
+    if demand.tried.contains(&endpoint.entry.id) {
         return false;
     }
     let share =
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -20,6 +20,10 @@
     pub load: &'static str,
     /// Response header: the upstream states that it did not execute the request.
     pub not_run: &'static str,
+    /// Response header: the upstream leaves, see [`Protocol::parse_leaving`].
+    pub leaving: &'static str,
+    /// Response header: how long the sender wants no requests, see [`Protocol::parse_pause`].
+    pub retry_after: &'static str,
     /// Path of the readiness check.
     pub readiness_path: &'static str,
     /// Path of look-ups.
@@ -48,6 +52,12 @@
 
     /// Parses the value of the load header, or `None` if it is malformed.
     fn parse_load(&self, value: &str) -> Option<Load>;
+
+    /// Whether the value of the leaving header states that the upstream leaves.
+    fn parse_leaving(&self, value: &str) -> bool;
+
+    /// Parses the value of the header that asks for a pause, or `None` if it is malformed.
+    fn parse_pause(&self, value: &str) -> Option<Millis>;
 }
 
 /// The load that an upstream reports with a response.
--- a/components/gateway/src/upstreams.rs
+++ b/components/gateway/src/upstreams.rs
@@ -2,6 +2,7 @@
 
 use crate::Settings;
 use crate::endpoint::Endpoint;
+use crate::statement::Statements;
 use clock::Millis;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -29,6 +30,8 @@
     max_shift: f64,
     by_id: HashMap<Arc<str>, Rc<Endpoint>>,
     by_service: HashMap<Arc<str>, Vec<Rc<Endpoint>>>,
+    /// What upstreams have stated in their responses.
+    statements: Statements,
     /// Assignment of objects to regions, by service.
     shares: HashMap<Arc<str>, Shares>,
     /// Mean time to connect to each region, in ms: a round trip.
@@ -49,6 +52,7 @@
             max_shift: settings.bounds.max_shift,
             by_id: HashMap::new(),
             by_service: HashMap::new(),
+            statements: Statements::default(),
             shares: HashMap::new(),
             round_trip_ms: HashMap::new(),
             assigned_ms: HashMap::new(),
@@ -67,10 +71,11 @@
                     && endpoint.entry.address == entry.address
                     && endpoint.entry.service == entry.service
             });
+            let statement = self.statements.of(entry, now);
             let endpoint = known.unwrap_or_else(|| {
                 let region = self.regions.get(&entry.domain);
                 let region = region.map_or_else(|| Arc::clone(&entry.domain), Arc::clone);
-                Rc::new(Endpoint::new(Arc::clone(entry), region, now))
+                Rc::new(Endpoint::new(Arc::clone(entry), region, statement, now))
             });
             if let Some(restored) = catalogue.restored_at(&entry.domain) {
                 let span = table.service(&entry.service).map(|service| service.cold_span);
@@ -79,6 +84,7 @@
             self.by_id.insert(Arc::clone(&entry.id), Rc::clone(&endpoint));
             self.by_service.entry(Arc::clone(&entry.service)).or_default().push(endpoint);
         }
+        self.statements.expire(now);
         self.assign_regions(now);
     }
 
--- a/components/gateway/tests/world/protocol.rs
+++ b/components/gateway/tests/world/protocol.rs
@@ -13,6 +13,8 @@
     target: "test-target",
     load: "test-load",
     not_run: "test-not-run",
+    leaving: "test-leaving",
+    retry_after: "test-retry-after",
     readiness_path: "/ready",
     lookup_path: "/lookup",
 };
@@ -37,4 +39,12 @@
     fn parse_load(&self, _value: &str) -> Option<Load> {
         None
     }
+
+    fn parse_leaving(&self, value: &str) -> bool {
+        value == "yes"
+    }
+
+    fn parse_pause(&self, value: &str) -> Option<Millis> {
+        value.strip_suffix("ms")?.parse().ok().map(Millis)
+    }
 }
--- a/components/gateway/tests/world/upstream.rs
+++ b/components/gateway/tests/world/upstream.rs
@@ -28,6 +28,8 @@
     ShedAgain,
     /// Sends these bytes, with the id of the request in place of `{id}`, and closes the connection.
     Cut(&'static str),
+    /// Responds with this status and these header fields as well.
+    RespondWith(u16, &'static str),
     /// Responds with 421: another upstream has its address.
     Misdirected,
     /// Responds with 500.
@@ -219,6 +221,14 @@
                     && self.execute(reader, head, Millis(100)).await
                     && write(reader, &signed_response(200, &id, &body)).await
             }
+            Behaviour::RespondWith(status, fields) => {
+                let text = format!(
+                    "HTTP/1.1 {status} X\r\ntest-id: {id}\r\ntest-signature: s\r\n{fields}\
+                     Content-Length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+                write(reader, text.as_bytes()).await
+            }
             Behaviour::Cut(bytes) => {
                 write(reader, bytes.replace("{id}", &id).as_bytes()).await;
                 false
