Log the age of the configuration that a request was handled by

The lines could not distinguish the hypotheses of the incident: a `request` line had the version and the age of the copy of the upstreams, but not that of the operators' rows, and a request rejected while it was read had no version.

--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -60,6 +60,12 @@
                 let is_current = core.record_store_response(feed, batch.revision, made);
                 listed = true;
                 core.apply(batch, &Origin::Store);
+                if !is_current {
+                    log::info!(
+                        target: "store", feed = feed.as_str();
+                        "store's response is older than what this VM or a peer knows; asking again"
+                    );
+                }
                 if !is_empty || !is_current {
                     core.clock.sleep(batch_delay(&core, feed)).await;
                 }
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -64,6 +64,7 @@
         budget,
         version: progress.version,
         age: core.confirmed_age(Feed::Upstreams),
+        configuration_age: core.confirmed_age(Feed::Operators),
     });
     reply
 }
--- a/components/gateway/src/inbound.rs
+++ b/components/gateway/src/inbound.rs
@@ -193,7 +193,7 @@
             .increment(1);
         if telemetry::admit_line() != telemetry::Admission::Suppressed {
             log::info!(
-                target: "caller", kind = kind.as_str();
+                target: "caller", kind = kind.as_str(), version = self.core.table().version();
                 "request rejected while it was read; closing the connection"
             );
         }
--- a/components/gateway/src/reporting.rs
+++ b/components/gateway/src/reporting.rs
@@ -34,6 +34,8 @@
     pub version: u64,
     /// Time since the copy of the upstreams was confirmed to be up to date; `None` if it never was.
     pub age: Option<Millis>,
+    /// The same for the copy of the operators' rows, with the configuration.
+    pub configuration_age: Option<Millis>,
 }
 
 /// Logs and counts a completed request.
@@ -45,7 +47,9 @@
     metrics::histogram!(names::LATENCY, names::SERVICE => service)
         .record(record.took.as_secs_f64());
     if telemetry::admit_line() != Admission::Suppressed {
-        let age = record.age.map_or_else(|| "never".to_owned(), |age| age.0.to_string());
+        let text =
+            |age: Option<Millis>| age.map_or_else(|| "never".to_owned(), |age| age.0.to_string());
+        let (age, configuration_age) = (text(record.age), text(record.configuration_age));
         log::info!(
             target: "request",
             request = record.request,
@@ -59,6 +63,7 @@
             took_ms = record.took.0,
             budget_ms = record.budget.0,
             version = record.version,
+            configuration_age_ms = configuration_age.as_str(),
             age_ms = age.as_str();
             "request"
         );
