Put a first configuration with version 0 in force

What callers saw: 404 for every route from a VM that says it is ready, if the first version of the configuration is 0. The table of routes was rebuilt only when its version differed, and the table without a configuration had version 0 as well. Found while looking for state that is derived from a configuration.

Change: the catalogue's event that a configuration came into force rebuilds the table, the idle timeout and the splits; the upstreams are derived separately.

Test: gateway/tests/beliefs, a_first_configuration_with_version_0_is_in_force, failed before (404).

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use steering::catalogue::{Batch, Catalogue, Feed};
+use steering::catalogue::{Batch, Catalogue, Event, Feed};
 use steering::cross_region::Limiter;
 use steering::echo::Echoes;
 use steering::membership::{Member, Members};
@@ -223,8 +223,11 @@
         crate::reporting::batch_received(&batch, known, origin);
         let events = self.catalogue.borrow_mut().apply(batch, now, lapse);
         crate::reporting::catalogue_events(&events, origin.as_str());
+        if events.iter().any(|event| matches!(event, Event::Configured { .. })) {
+            self.rebuild_table();
+        }
         if has_changes {
-            self.refresh(feed);
+            self.refresh_upstreams();
             self.state_changed.notify_one();
         }
     }
@@ -234,7 +237,7 @@
         let events = self.catalogue.borrow_mut().expire(self.clock.now());
         crate::reporting::catalogue_events(&events, "expiry");
         if !events.is_empty() {
-            self.refresh(Feed::Upstreams);
+            self.refresh_upstreams();
         }
     }
 
@@ -340,22 +343,22 @@
         members.alive(now).filter(is_near).collect()
     }
 
-    /// Derives routes and upstreams from the catalogue again.
-    fn refresh(&self, feed: Feed) {
+    /// Derives routes and limits from the configuration of the catalogue.
+    fn rebuild_table(&self) {
+        let Some(configuration) = self.catalogue.borrow().configuration().cloned() else {
+            return;
+        };
+        *self.table.borrow_mut() = Rc::new(Table::new(&configuration));
+        self.idle_timeout.send_if_modified(|known| {
+            let timeout = configuration.limits.idle_timeout;
+            std::mem::replace(known, timeout) != timeout
+        });
+        self.splitter.borrow_mut().reset();
+    }
+
+    /// Derives upstreams from the catalogue again.
+    fn refresh_upstreams(&self) {
         let catalogue = self.catalogue.borrow();
-        if feed == Feed::Operators {
-            let version = catalogue.configuration().map(|configuration| configuration.version);
-            if version != Some(self.table().version())
-                && let Some(configuration) = catalogue.configuration()
-            {
-                *self.table.borrow_mut() = Rc::new(Table::new(configuration));
-                self.idle_timeout.send_if_modified(|known| {
-                    let timeout = configuration.limits.idle_timeout;
-                    std::mem::replace(known, timeout) != timeout
-                });
-                self.splitter.borrow_mut().reset();
-            }
-        }
         self.upstreams.borrow_mut().update(&catalogue, &self.table(), self.clock.now());
     }
 }
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -29,6 +29,21 @@
     .await;
 }
 
+/// Guards against a first version that never comes into force: the state without a configuration
+/// counted as version 0.
+#[tokio::test]
+async fn a_first_configuration_with_version_0_is_in_force() {
+    run_test(async |world| {
+        world.upstream("u1").await;
+        world.declare(0);
+        let vm = world.gateway("a").await;
+        vm.await_ready().await;
+        let mut caller = vm.connect().await;
+        assert_eq!(caller.request(&get("/read/1", "r")).await.unwrap().status, 200);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_new_configuration_is_applied_after_the_store_dropped_its_history() {
     run_test(async |world| {
