Assign upstreams to the regions of reloaded settings

What callers saw: after a failure domain had been added to the settings of a running VM, its upstreams belonged to no known region: routes that are restricted to the domain's region refused requests, and placement took them for far away, until a restart. Found while looking for state that is derived from a configuration and held.

Cause: the regions were copied when the process started.

Change: a reload replaces the regions and derives the upstreams again. The limit on callers' connections is taken at each new connection. The bounds on shifts and retries still need a restart; docs/OPERATIONS.md says so.

Test: gateway/tests/beliefs, reloaded_settings_assign_upstreams_to_regions, failed before (503).

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -186,6 +186,13 @@
         Rc::clone(&self.settings.borrow())
     }
 
+    /// Puts changed settings in force.
+    pub fn apply_settings(&self, settings: Settings) {
+        self.upstreams.borrow_mut().set_regions(settings.regions.clone());
+        *self.settings.borrow_mut() = Rc::new(settings);
+        self.refresh_upstreams();
+    }
+
     /// The routes in force.
     pub fn table(&self) -> Rc<Table> {
         Rc::clone(&self.table.borrow())
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -95,8 +95,7 @@
             target: "process", vm = settings.vm.as_ref(), seeds = settings.seeds.len();
             "settings reloaded"
         );
-        *self.core.settings.borrow_mut() =
-            Rc::new(Settings { listen: self.core.settings().listen, ..settings });
+        self.core.apply_settings(Settings { listen: self.core.settings().listen, ..settings });
     }
 
     /// Shuts down: accepts connections for a short time more, waits for requests in flight until
@@ -131,9 +130,10 @@
 }
 
 async fn accept(core: Rc<Core>, listener: TcpListener) {
-    let limit = (core.settings().max_connections as f64 * CALLER_CONNECTIONS_PART) as usize;
     loop {
-        match listener.accept().await {
+        let accepted = listener.accept().await;
+        let limit = (core.settings().max_connections as f64 * CALLER_CONNECTIONS_PART) as usize;
+        match accepted {
             Ok((stream, _)) if core.caller_connections.get() < limit => {
                 spawn(inbound::serve(Rc::clone(&core), stream));
             }
--- a/components/gateway/src/upstreams.rs
+++ b/components/gateway/src/upstreams.rs
@@ -60,21 +60,26 @@
         }
     }
 
-    /// Rebuilds the endpoints from the catalogue. An upstream with the same incarnation, address
-    /// and service keeps its connections and observations.
+    /// Sets the region of every failure domain, for the next [`Upstreams::update`].
+    pub fn set_regions(&mut self, regions: HashMap<Arc<str>, Arc<str>>) {
+        self.regions = regions;
+    }
+
+    /// Rebuilds the endpoints from the catalogue. An upstream with the same incarnation, address,
+    /// service and region keeps its connections and observations.
     pub fn update(&mut self, catalogue: &Catalogue, table: &Table, now: Millis) {
         let mut before = std::mem::take(&mut self.by_id);
         self.by_service.clear();
         for entry in catalogue.upstreams() {
+            let region = Arc::clone(self.regions.get(&entry.domain).unwrap_or(&entry.domain));
             let known = before.remove(&entry.id).filter(|endpoint| {
                 endpoint.entry.incarnation == entry.incarnation
                     && endpoint.entry.address == entry.address
                     && endpoint.entry.service == entry.service
+                    && endpoint.region == region
             });
             let statement = self.statements.of(entry, now);
             let endpoint = known.unwrap_or_else(|| {
-                let region = self.regions.get(&entry.domain);
-                let region = region.map_or_else(|| Arc::clone(&entry.domain), Arc::clone);
                 Rc::new(Endpoint::new(Arc::clone(entry), region, statement, now))
             });
             if let Some(restored) = catalogue.restored_at(&entry.domain) {
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -321,6 +321,31 @@
     .await;
 }
 
+/// Guards against regions of older settings: upstreams in a failure domain that reloaded settings
+/// assign to a region were still taken for those of no known region.
+#[tokio::test]
+async fn reloaded_settings_assign_upstreams_to_regions() {
+    run_test(async |world| {
+        world.upstream_in("u1", "d3").await;
+        world.declare_with(1, |configuration| {
+            let routes = configuration.routes.iter().map(|each| {
+                let regions = vec!["r2".into()];
+                Arc::new(steering::routing::Route { regions, ..(**each).clone() })
+            });
+            configuration.routes = routes.collect();
+        });
+        let vm = world.gateway("a").await;
+        vm.await_ready().await;
+        let mut caller = vm.connect().await;
+        assert_eq!(caller.request(&get("/read/1", "r")).await.unwrap().status, 503);
+        let mut reloaded = settings("a", vm.ip);
+        reloaded.regions.insert("d3".into(), "r2".into());
+        vm.gateway.reload(reloaded);
+        assert_eq!(caller.request(&get("/read/1", "r")).await.unwrap().status, 200);
+    })
+    .await;
+}
+
 /// Guards against long polls during an outage: one that was sent while the store was silent delayed
 /// for 3 s that its recovery, and a configuration accepted right after it, were noticed.
 #[tokio::test]
