Take over a changed number of slots of an upstream

What callers saw: an upstream that registered with fewer slots, without starting again, went on to get as many requests as before and shed them; with more slots it stayed as idle as before. Found while looking for state that is derived from older entries and held.

Cause: an upstream whose incarnation, address and service are the same keeps its endpoint, and that read the number of slots from the entry that it was made from. Class: as with the limits of idle connections.

Change: the endpoint has the number of slots of the latest entry.

Test: gateway/tests/beliefs, the_slots_of_a_changed_entry_limit_requests, failed before (none of six requests refused).

--- a/components/gateway/src/endpoint.rs
+++ b/components/gateway/src/endpoint.rs
@@ -30,6 +30,8 @@
     pub pool: RefCell<Pool>,
     /// What the upstream has stated in its responses.
     pub statement: Rc<Statement>,
+    /// Requests that the upstream runs at once, by its latest entry.
+    slots: Cell<u32>,
     in_flight: Cell<u32>,
     report: Cell<Option<LoadReport>>,
     consecutive_failures: Cell<u32>,
@@ -59,12 +61,13 @@
         statement: Rc<Statement>,
         now: Millis,
     ) -> Endpoint {
-        let cold_until = now + entry.cold_left;
+        let (slots, cold_until) = (entry.slots, now + entry.cold_left);
         Endpoint {
             entry,
             region,
             pool: RefCell::default(),
             statement,
+            slots: Cell::new(slots),
             in_flight: Cell::default(),
             report: Cell::default(),
             consecutive_failures: Cell::default(),
@@ -75,6 +78,16 @@
         }
     }
 
+    /// The number of requests that the upstream runs at once.
+    pub fn slots(&self) -> u32 {
+        self.slots.get()
+    }
+
+    /// Takes over a new number of slots.
+    pub fn set_slots(&self, slots: u32) {
+        self.slots.set(slots);
+    }
+
     /// Counts a request that is about to be sent.
     pub fn begin_request(self: &Rc<Endpoint>) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -161,7 +161,7 @@
             progress.upstream = Arc::clone(&endpoint.entry.id);
             progress.reason = choice.reason.as_str();
             let started = self.core.clock.now();
-            let is_queued = endpoint.load(started) >= f64::from(endpoint.entry.slots);
+            let is_queued = endpoint.load(started) >= f64::from(endpoint.slots());
             let outcome = attempt::run(self.core, &self.job, &endpoint).await;
             let took = self.core.clock.now() - started;
             let assigned = choice.reason != Reason::OtherRegion;
@@ -232,7 +232,7 @@
                 endpoint.mark_replaced();
                 false
             }
-            Outcome::Failed(Cause::Shed) => endpoint.load(now) < f64::from(endpoint.entry.slots),
+            Outcome::Failed(Cause::Shed) => endpoint.load(now) < f64::from(endpoint.slots()),
             Outcome::Failed(Cause::Deadline | Cause::UpstreamLeft) => false,
             Outcome::Response(_) | Outcome::Failed(_) | Outcome::TimedOut => true,
         };
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -70,7 +70,7 @@
         .iter()
         .map(|endpoint| Candidate {
             id: &endpoint.entry.id,
-            slots: endpoint.entry.slots,
+            slots: endpoint.slots(),
             load: endpoint.load(now),
             slowdown: endpoint.slowdown(now),
             network_latency: upstreams.network_latency(&settings.region, &endpoint.region),
--- a/components/gateway/src/upstreams.rs
+++ b/components/gateway/src/upstreams.rs
@@ -82,6 +82,7 @@
             let endpoint = known.unwrap_or_else(|| {
                 Rc::new(Endpoint::new(Arc::clone(entry), region, statement, now))
             });
+            endpoint.set_slots(entry.slots);
             if let Some(restored) = catalogue.restored_at(&entry.domain) {
                 let span = table.service(&entry.service).map(|service| service.cold_span);
                 endpoint.mark_cold(restored + span.unwrap_or_default());
@@ -103,7 +104,7 @@
         for (service, endpoints) in &self.by_service {
             let slots = |name: &Arc<str>| {
                 let local = endpoints.iter().filter(|endpoint| endpoint.region == *name);
-                local.map(|endpoint| f64::from(endpoint.entry.slots)).sum()
+                local.map(|endpoint| f64::from(endpoint.slots())).sum()
             };
             let regions: Vec<Region> = demand
                 .iter()
--- a/components/gateway/tests/beliefs.rs
+++ b/components/gateway/tests/beliefs.rs
@@ -321,6 +321,33 @@
     .await;
 }
 
+/// Guards against slots of an older entry: an upstream that registered with fewer slots, without
+/// starting again, still got as many requests as before.
+#[tokio::test]
+async fn the_slots_of_a_changed_entry_limit_requests() {
+    run_test(async |world| {
+        let (upstream, vm) = world.serving().await;
+        let entry = entry("u1", upstream.address, Readiness::Ready);
+        world.store.put_upstream(steering::routing::Upstream { slots: 1, ..entry });
+        // Changes of upstreams share polls for a quarter of a second.
+        tokio::time::sleep(Millis(500).duration()).await;
+        upstream.script([Behaviour::Slow(Millis(600))]);
+        let mut callers = Vec::new();
+        for number in 0..6 {
+            let mut caller = vm.connect().await;
+            caller.send(&get(&format!("/read/{number}"), "r")).await;
+            callers.push(caller);
+        }
+        // One request is executed, and two may wait for each slot.
+        let mut refused = 0;
+        for mut caller in callers {
+            refused += usize::from(caller.response().await.unwrap().status == 503);
+        }
+        assert_eq!((refused, upstream.executed().len()), (3, 3));
+    })
+    .await;
+}
+
 /// Guards against regions of older settings: upstreams in a failure domain that reloaded settings
 /// assign to a region were still taken for those of no known region.
 #[tokio::test]
