Treat an upstream as cold again when its entry says so

What callers saw: an upstream whose entry says that it has become cold again, without starting again, went on to get requests as before; it tolerates only a few a second then. Found while looking for state that is derived from older entries and held.

Cause: the remaining cold time was read only when the endpoint was made. Class: as with the slots.

Change: a remaining cold time that is longer than that of the entry before makes the endpoint cold for that long. One that is shorter counts down the same time.

Test: gateway/tests/upstreams, an_upstream_that_becomes_cold_again_gets_no_more_than_its_rate, failed before (all 40 requests of a second were sent).

--- a/components/gateway/src/endpoint.rs
+++ b/components/gateway/src/endpoint.rs
@@ -36,6 +36,8 @@
     report: Cell<Option<LoadReport>>,
     consecutive_failures: Cell<u32>,
     ejected_until: Cell<Millis>,
+    /// The remaining cold time in the latest entry.
+    cold_left: Cell<Millis>,
     cold_until: Cell<Millis>,
     next_cold_request: Cell<Millis>,
     replaced: Cell<bool>,
@@ -61,7 +63,8 @@
         statement: Rc<Statement>,
         now: Millis,
     ) -> Endpoint {
-        let (slots, cold_until) = (entry.slots, now + entry.cold_left);
+        let (slots, cold_left) = (entry.slots, entry.cold_left);
+        let cold_until = now + cold_left;
         Endpoint {
             entry,
             region,
@@ -72,6 +75,7 @@
             report: Cell::default(),
             consecutive_failures: Cell::default(),
             ejected_until: Cell::default(),
+            cold_left: Cell::new(cold_left),
             cold_until: Cell::new(if cold_until > now { cold_until } else { Millis::ZERO }),
             next_cold_request: Cell::default(),
             replaced: Cell::default(),
@@ -83,9 +87,13 @@
         self.slots.get()
     }
 
-    /// Takes over a new number of slots.
-    pub fn set_slots(&self, slots: u32) {
-        self.slots.set(slots);
+    /// Takes over what the upstream's latest entry changes. It may become cold again at any time;
+    /// an entry that only counts down the same cold time arrives late and must not prolong it.
+    pub fn apply_entry(&self, entry: &Upstream, now: Millis) {
+        self.slots.set(entry.slots);
+        if entry.cold_left > self.cold_left.replace(entry.cold_left) {
+            self.mark_cold(now + entry.cold_left);
+        }
     }
 
     /// Counts a request that is about to be sent.
--- a/components/gateway/src/upstreams.rs
+++ b/components/gateway/src/upstreams.rs
@@ -82,7 +82,7 @@
             let endpoint = known.unwrap_or_else(|| {
                 Rc::new(Endpoint::new(Arc::clone(entry), region, statement, now))
             });
-            endpoint.set_slots(entry.slots);
+            endpoint.apply_entry(entry, now);
             if let Some(restored) = catalogue.restored_at(&entry.domain) {
                 let span = table.service(&entry.service).map(|service| service.cold_span);
                 endpoint.mark_cold(restored + span.unwrap_or_default());
--- a/components/gateway/tests/upstreams.rs
+++ b/components/gateway/tests/upstreams.rs
@@ -311,6 +311,34 @@
     .await;
 }
 
+/// Guards against a crash of a cold upstream: its entry said that it had become cold again, without
+/// starting again, and requests came as before.
+#[tokio::test]
+async fn an_upstream_that_becomes_cold_again_gets_no_more_than_its_rate() {
+    run_test(async |world| {
+        let (standin, vm) = world.serving().await;
+        // A VM that has just started sends nothing to cold upstreams.
+        tokio::time::sleep(Millis(1_500).duration()).await;
+        let mut caller = vm.connect().await;
+        assert_eq!(caller.request(&get("/read/1", "r")).await.unwrap().status, 200);
+        let before = standin.executed().len();
+        world.store.put_upstream(steering::routing::Upstream {
+            cold_left: Millis(10_000),
+            ..entry("u1", standin.address, Readiness::Ready)
+        });
+        tokio::time::sleep(Millis(500).duration()).await;
+        for number in 0..40 {
+            let reply = caller.request(&get(&format!("/read/{number}"), "r")).await.unwrap();
+            assert!(matches!(reply.status, 200 | 503), "{}", reply.status);
+            tokio::time::sleep(Millis(25).duration()).await;
+        }
+        // The rate is 5 requests a second from all VMs together, and a second has passed.
+        let served = standin.executed().len() - before;
+        assert!((1..=5).contains(&served), "{served}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_silent_upstream_is_ejected_after_two_timeouts() {
     run_test(async |world| {
