Judge a response of the store by what was known when its poll was sent

Change: the newest revision known to the VM or its peers is taken before the poll is sent. The log line names both revisions.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -248,17 +248,9 @@
         }
     }
 
-    /// Records that the store responded for `feed`, with its changes up to `revision`. The response
-    /// was made at `made` or later. Returns whether it is current: one that is older than the
-    /// changes known here or to a peer is out of date.
-    pub fn record_store_response(&self, feed: Feed, revision: u64, made: Millis) -> bool {
-        let known = self.catalogue.borrow().revision(feed);
-        let is_current = revision >= known.max(self.newest_of_peers.get()[feed as usize]);
-        if is_current {
-            self.confirm(feed, made);
-        }
-        self.merge_store_uptime(Uptime::at(self.clock.now()));
-        is_current
+    /// The newest revision of `feed` that this VM or a peer knows.
+    pub fn newest_revision(&self, feed: Feed) -> u64 {
+        self.catalogue.borrow().revision(feed).max(self.newest_of_peers.get()[feed as usize])
     }
 
     /// Records that a peer has changes of `feed` up to `revision`.
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use steering::catalogue::Feed;
 use steering::readers::Role;
+use steering::uptime::Uptime;
 
 /// A poll waits for less than the longest time, by up to this part of it as a divisor, at random:
 /// readers whose polls ended with the same change must not all confirm their copies at the same
@@ -46,7 +47,7 @@
             continue;
         }
         let poll = listed.then(|| next_poll(&core, feed, role, failing));
-        let sent = core.clock.now();
+        let (sent, known) = (core.clock.now(), core.newest_revision(feed));
         let result = match poll {
             None => source.list(feed).await.map(Update::Changes),
             Some(poll) => source.follow(feed, poll).await,
@@ -57,15 +58,18 @@
                 let is_empty = batch.changes.is_empty();
                 let waited = poll.filter(|_| is_empty).map_or(Millis::ZERO, |poll| poll.wait);
                 let made = (sent + waited).min(core.clock.now());
-                let is_current = core.record_store_response(feed, batch.revision, made);
-                listed = true;
-                core.apply(batch, &Origin::Store);
-                if !is_current {
+                core.merge_store_uptime(Uptime::at(core.clock.now()));
+                let is_current = batch.revision >= known;
+                if is_current {
+                    core.confirm(feed, made);
+                } else {
                     log::info!(
-                        target: "store", feed = feed.as_str();
-                        "store's response is older than what this VM or a peer knows; asking again"
+                        target: "store", feed = feed.as_str(), revision = batch.revision, known = known;
+                        "store's response is older than what was known before; asking again"
                     );
                 }
+                listed = true;
+                core.apply(batch, &Origin::Store);
                 if !is_empty || !is_current {
                     core.clock.sleep(batch_delay(&core, feed)).await;
                 }
