Split the handling of the store's responses from the loop of polls

The loop had grown beyond one screen. `Request` has what is known when a request is sent, and applies its response. No behaviour changes; all tests of the gateway pass.

--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -5,7 +5,7 @@
 use clock::Millis;
 use rand::RngExt;
 use std::rc::Rc;
-use steering::catalogue::Feed;
+use steering::catalogue::{Batch, Feed};
 use steering::readers::Role;
 use steering::uptime::Uptime;
 
@@ -47,7 +47,11 @@
             continue;
         }
         let poll = listed.then(|| next_poll(&core, feed, role, failing));
-        let (sent, known) = (core.clock.now(), core.newest_revision(feed));
+        let request = Request {
+            sent: core.clock.now(),
+            wait: poll.map_or(Millis::ZERO, |poll| poll.wait),
+            known: core.newest_revision(feed),
+        };
         let result = match poll {
             None => source.list(feed).await.map(Update::Changes),
             Some(poll) => source.follow(feed, poll).await,
@@ -55,22 +59,8 @@
         match result {
             Ok(Update::Changes(batch)) => {
                 mark_reachable(feed, &mut failing);
-                let is_empty = batch.changes.is_empty();
-                let waited = poll.filter(|_| is_empty).map_or(Millis::ZERO, |poll| poll.wait);
-                let made = (sent + waited).min(core.clock.now());
-                core.merge_store_uptime(Uptime::at(core.clock.now()));
-                let is_current = batch.revision >= known;
-                if is_current {
-                    core.confirm(feed, made);
-                } else {
-                    log::info!(
-                        target: "store", feed = feed.as_str(), revision = batch.revision, known = known;
-                        "store's response is older than what was known before; asking again"
-                    );
-                }
                 listed = true;
-                core.apply(batch, &Origin::Store);
-                if !is_empty || !is_current {
+                if !request.apply_response(&core, batch) {
                     core.clock.sleep(batch_delay(&core, feed)).await;
                 }
             }
@@ -98,6 +88,38 @@
     }
 }
 
+/// A request to the store whose response is awaited.
+struct Request {
+    sent: Millis,
+    /// How long the store waits for changes if there are none.
+    wait: Millis,
+    /// The newest revision that this VM or a peer knew when the request was sent.
+    known: u64,
+}
+
+impl Request {
+    /// Applies the response. Returns whether it says that nothing has changed until now.
+    fn apply_response(&self, core: &Core, batch: Batch) -> bool {
+        let now = core.clock.now();
+        core.merge_store_uptime(Uptime::at(now));
+        let is_empty = batch.changes.is_empty();
+        let is_current = batch.revision >= self.known;
+        if is_current {
+            // A response with changes may have been made at any time since the request was sent.
+            let waited = if is_empty { self.wait } else { Millis::ZERO };
+            core.confirm(batch.feed, (self.sent + waited).min(now));
+        } else {
+            log::info!(
+                target: "store", feed = batch.feed.as_str(), revision = batch.revision,
+                known = self.known;
+                "store's response is older than what was known before; asking again"
+            );
+        }
+        core.apply(batch, &Origin::Store);
+        is_current && is_empty
+    }
+}
+
 fn next_poll(core: &Core, feed: Feed, role: Role, failing: bool) -> Poll {
     let after = core.catalogue.borrow().revision(feed);
     let (wait, timeout) = match (failing, role) {
