Trace the test process that did not end, and test the calls of a VM that is ahead of the store

Cause: a VM that knows a newer revision than the store responds with is told to list all rows. An older listing may be empty, as the only row has changed since; then there was no pause, the poll said again to list, and so on. The store of the tests answers without yielding, so that the test could not even time out; its list of polls filled the memory, at 16 bytes each.

Change: the test of a VM behind the store counts the calls in the second after it has got the change from its peer, and the store of the tests yields.

--- a/components/gateway/tests/ages.rs
+++ b/components/gateway/tests/ages.rs
@@ -9,7 +9,7 @@
 use steering::routing::Effect;
 use world::caller::get;
 use world::probe::Probe;
-use world::{route, run_test, until};
+use world::{Vm, World, route, run_test, until};
 
 /// The time for which a statement was on its way, or the VM was not running.
 const DELAY: Millis = Millis(1_500);
@@ -20,9 +20,23 @@
 const CONFIGURATION_BOUND: Millis = Millis(2_000);
 /// Polls wait for half of it, so that the store responds to a VM all the time.
 const SHORT_SETTLING: Millis = Millis(1_000);
+/// Calls to the store in a second of two VMs, one of which asks for newer changes after a pause of
+/// 100 ms each time, with two calls.
+const MAX_CALLS: usize = 30;
 /// An age of two rounded times may be too small by this.
 const ROUNDING: Millis = Millis(2);
 
+/// Declares a new route; the VM must serve it within the bound on configurations.
+async fn check_change_in_force(world: &World, vm: &Vm) {
+    world.declare_with(2, |configuration| {
+        configuration.routes.push(Arc::new(route("/new/", Effect::Idempotent)));
+    });
+    let mut caller = vm.connect().await;
+    let in_force = until(async || caller.request(&get("/new/1", "n")).await.unwrap().status == 200);
+    let in_force = tokio::time::timeout(CONFIGURATION_BOUND.duration(), in_force).await;
+    assert!(in_force.is_ok(), "the old configuration is in force after the bound");
+}
+
 /// Guards against requests that are handled by an older configuration: a heartbeat that had waited
 /// in the queue of a frozen VM counted as fresh, and the VM put off reading from the store.
 #[tokio::test]
@@ -58,14 +72,7 @@
             });
         }
         tokio::time::sleep(Millis(3_000).duration()).await;
-        world.declare_with(2, |configuration| {
-            configuration.routes.push(Arc::new(route("/new/", Effect::Idempotent)));
-        });
-        let mut caller = vm.connect().await;
-        let in_force =
-            until(async || caller.request(&get("/new/1", "n")).await.unwrap().status == 200);
-        let in_force = tokio::time::timeout(CONFIGURATION_BOUND.duration(), in_force).await;
-        assert!(in_force.is_ok(), "the old configuration is in force after the bound");
+        check_change_in_force(&world, &vm).await;
     })
     .await;
 }
@@ -118,21 +125,20 @@
     run_test(async |world| {
         let (_upstream, peer) = world.serving().await;
         let seed = peer.heartbeats();
-        let vm = world.gateway_with("b", |settings| {
-            settings.seeds = vec![seed];
-            settings.bounds.settling = SHORT_SETTLING;
-        });
-        let vm = vm.await;
+        let vm = world
+            .gateway_with("b", |settings| {
+                settings.seeds = vec![seed];
+                settings.bounds.settling = SHORT_SETTLING;
+            })
+            .await;
         vm.await_ready().await;
         world.store.serve_outdated("b");
-        world.declare_with(2, |configuration| {
-            configuration.routes.push(Arc::new(route("/new/", Effect::Idempotent)));
-        });
-        let mut caller = vm.connect().await;
-        let in_force =
-            until(async || caller.request(&get("/new/1", "n")).await.unwrap().status == 200);
-        let in_force = tokio::time::timeout(CONFIGURATION_BOUND.duration(), in_force).await;
-        assert!(in_force.is_ok(), "the old configuration is in force after the bound");
+        check_change_in_force(&world, &vm).await;
+        // The listing that the store gives instead is older too, and empty.
+        let before = world.store.calls();
+        tokio::time::sleep(Millis(1_000).duration()).await;
+        let calls = world.store.calls() - before;
+        assert!(calls <= MAX_CALLS, "{calls} calls in a second");
     })
     .await;
 }
--- a/components/gateway/tests/world/store.rs
+++ b/components/gateway/tests/world/store.rs
@@ -160,6 +160,8 @@
 #[async_trait(?Send)]
 impl Source for Connection {
     async fn list(&mut self, feed: Feed) -> Result<Batch, Error> {
+        // A VM that calls without a pause must not keep the test from noticing.
+        tokio::task::yield_now().await;
         self.check_access()?;
         let revision = self.revision();
         let mut changes = self.store.changes(feed, 0, revision);
