--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -77,8 +77,8 @@
     connection: Connection,
     in_flight: InFlight,
 ) -> Outcome {
-    let Connection { mut reader, mut writer, sent: mut earlier } = connection;
-    earlier.record(&job.id);
+    let Connection { mut reader, mut writer, mut ids } = connection;
+    ids.record(&job.id);
     let bytes = encode_request(core, job, endpoint);
     let mut sent = false;
     let response = {
@@ -111,7 +111,7 @@
         endpoint.record_load(load, core.clock.now());
     }
     record_statement(core, endpoint, &response);
-    let connection = sent.then_some(Connection { reader, writer, sent: earlier });
+    let connection = sent.then_some(Connection { reader, writer, ids });
     if response.status == 421 || response.headers.get(names.not_run).is_some() {
         return not_executed(core, endpoint, &response, connection);
     }
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -35,16 +35,16 @@
     pub reader: Reader<OwnedReadHalf>,
     /// Writes requests.
     pub writer: Writer,
-    /// The latest requests that were sent.
-    pub sent: Sent,
+    /// The ids of the latest requests that were sent.
+    pub ids: Ids,
 }
 
 /// The ids of the latest requests that were sent on a connection. An upstream may send a response
 /// once more, and only the id tells that it belongs to an earlier request; so no id is sent twice.
 #[derive(Debug, Default)]
-pub struct Sent(VecDeque<u64>);
+pub struct Ids(VecDeque<u64>);
 
-impl Sent {
+impl Ids {
     /// Whether the response to a request with the id `id` can be told from those to earlier ones.
     pub fn allows(&self, id: &[u8]) -> bool {
         self.0.is_empty() || (!id.is_empty() && !self.0.contains(&xxh3_64(id)))
@@ -129,7 +129,7 @@
         );
         return None;
     }
-    Some(Connection { reader, writer: Writer(Some(writer)), sent: Sent::default() })
+    Some(Connection { reader, writer: Writer(Some(writer)), ids: Ids::default() })
 }
 
 /// Closes idle connections that can't be used again, until the process ends.
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -32,7 +32,7 @@
     /// expired ones.
     pub fn take(&mut self, id: &[u8], now: Millis) -> Option<Connection> {
         self.idle.retain(|idle| now < idle.reuse_until);
-        let position = self.idle.iter().rposition(|idle| idle.connection.sent.allows(id))?;
+        let position = self.idle.iter().rposition(|idle| idle.connection.ids.allows(id))?;
         Some(self.idle.remove(position).connection)
     }
 
