Wait until a process has stopped before a session goes on

Cause: the step `signal freeze` returned as soon as the signal was sent. So `entryd` on e1, not stopped yet, answered the order that e2 relayed to it.

Change: `Process::signal` waits after `Signal::Stop` until the kernel reports that all threads have stopped, and fails if the process ends or doesn't stop. It sends signals itself instead of running `kill`, whose exit status it ignored. The transcript is unchanged; the session now tests the state that it names. The step for `controld` and the pauses of the soak use the same function.

--- a/components/harness/src/process.rs
+++ b/components/harness/src/process.rs
@@ -1,15 +1,20 @@
 use crate::Error;
 use crate::error::{NoAddressSnafu, StartSnafu, SystemSnafu};
 use clock::Millis;
+use nix::sys::signal::{self, kill};
+use nix::sys::wait::{Id, WaitPidFlag, WaitStatus, waitid};
+use nix::unistd::Pid;
 use snafu::ResultExt;
 use std::fs;
-use std::io::{BufRead, BufReader};
+use std::io::{self, BufRead, BufReader, ErrorKind};
 use std::path::Path;
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::thread;
 use std::time::Instant;
 
 const POLL_INTERVAL: Millis = Millis(10);
+/// The time after which a process that was sent [`Signal::Stop`] counts as unable to stop.
+const STOP_TIMEOUT: Millis = Millis::from_secs(30);
 /// Unit of CPU time in `/proc/PID/stat`.
 const TICKS_PER_SECOND: f64 = 100.0;
 
@@ -29,13 +34,13 @@
 }
 
 impl Signal {
-    fn name(self) -> &'static str {
+    fn number(self) -> signal::Signal {
         match self {
-            Signal::Term => "TERM",
-            Signal::Kill => "KILL",
-            Signal::Stop => "STOP",
-            Signal::Cont => "CONT",
-            Signal::Hup => "HUP",
+            Signal::Term => signal::Signal::SIGTERM,
+            Signal::Kill => signal::Signal::SIGKILL,
+            Signal::Stop => signal::Signal::SIGSTOP,
+            Signal::Cont => signal::Signal::SIGCONT,
+            Signal::Hup => signal::Signal::SIGHUP,
         }
     }
 }
@@ -100,21 +105,50 @@
         &self.first_line
     }
 
-    /// Sends `signal`.
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends `signal`. After [`Signal::Stop`], waits until all threads of the process have stopped:
+    /// they run on for some milliseconds after the signal was sent, longer on a busy machine.
     ///
     /// # Errors
     ///
-    /// [`Error::System`] when the `kill` program can't be run.
+    /// [`Error::System`] when the signal can't be sent, or the process ends instead of stopping or
+    /// doesn't stop in time.
     pub fn signal(&self, signal: Signal) -> Result<(), Error> {
-        let action = format!("send {} to {}", signal.name(), self.name);
-        Command::new("kill")
-            .arg(format!("-{}", signal.name()))
-            .arg(self.child.id().to_string())
-            .status()
-            .context(SystemSnafu { action })?;
+        let number = signal.number();
+        let sent = kill(self.pid(), number).map_err(io::Error::from);
+        sent.context(SystemSnafu { action: format!("send {number} to {}", self.name) })?;
+        if signal == Signal::Stop {
+            let stopped = self.wait_until_stopped();
+            stopped.context(SystemSnafu { action: format!("stop {}", self.name) })?;
+        }
         Ok(())
     }
 
+    fn wait_until_stopped(&self) -> io::Result<()> {
+        // WNOWAIT leaves an exit status to `child`.
+        let flags = WaitPidFlag::WSTOPPED
+            | WaitPidFlag::WEXITED
+            | WaitPidFlag::WNOHANG
+            | WaitPidFlag::WNOWAIT;
+        let started = Instant::now();
+        while started.elapsed() < STOP_TIMEOUT.duration() {
+            match waitid(Id::Pid(self.pid()), flags)? {
+                WaitStatus::Stopped(..) => return Ok(()),
+                WaitStatus::StillAlive => thread::sleep(POLL_INTERVAL.duration()),
+                status => return Err(io::Error::other(format!("it has ended: {status:?}"))),
+            }
+        }
+        Err(ErrorKind::TimedOut.into())
+    }
+
+    fn pid(&self) -> Pid {
+        Pid::from_raw(self.child.id().cast_signed())
+    }
+
     /// Kills the process immediately and waits until it has ended.
     pub fn kill(mut self) {
         self.end();
@@ -138,7 +172,7 @@
             }
             thread::sleep(POLL_INTERVAL.duration());
         }
-        let timed_out = std::io::Error::from(std::io::ErrorKind::TimedOut);
+        let timed_out = io::Error::from(ErrorKind::TimedOut);
         Err(timed_out).context(SystemSnafu { action: format!("shut down {}", self.name) })
     }
 
