Log the regions of routes and upstreams, and who was meant by a 421

A request line did not say where its upstream runs nor to which regions the route is restricted, and a response with status 421 was only counted as a failed attempt. A request that leaves its home region could not be traced to a wrong choice, a wrong region or an address that was given to another upstream.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 use crate::endpoint::{Endpoint, InFlight};
 use crate::outcome::{Cause, Outcome};
 use crate::reply::{Body, Piece, Reply};
+use crate::reporting;
 use bytes::{Bytes, BytesMut};
 use clock::Millis;
 use http1::{Error, Framing, Headers, Reader, Request, Response, encode};
@@ -78,6 +79,7 @@
     in_flight: InFlight,
 ) -> Outcome {
     let Connection { mut reader, mut writer, mut ids } = connection;
+    let origin = if ids.is_empty() { "new" } else { "kept" };
     ids.record(&job.id);
     let bytes = encode_request(core, job, endpoint);
     let mut sent = false;
@@ -110,6 +112,10 @@
     {
         endpoint.record_load(load, core.clock.now());
     }
+    if response.status == 421 {
+        let request = std::str::from_utf8(&job.id).unwrap_or_default();
+        reporting::upstream_replaced(request, endpoint, origin);
+    }
     record_statement(core, endpoint, &response);
     let connection = sent.then_some(Connection { reader, writer, ids });
     if response.status == 421 || response.headers.get(names.not_run).is_some() {
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -50,6 +50,11 @@
         self.0.is_empty() || (!id.is_empty() && !self.0.contains(&xxh3_64(id)))
     }
 
+    /// Whether no request was sent.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Records a request with the id `id`.
     pub fn record(&mut self, id: &[u8]) {
         if self.0.len() == REMEMBERED_REQUESTS {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -35,7 +35,9 @@
 struct Progress {
     route: Arc<str>,
     service: Arc<str>,
+    regions: String,
     upstream: Arc<str>,
+    upstream_region: Arc<str>,
     reason: &'static str,
     sent_attempts: u32,
     version: u64,
@@ -56,7 +58,9 @@
         object: std::str::from_utf8(&object).unwrap_or_default(),
         route: &progress.route,
         service: &progress.service,
+        regions: &progress.regions,
         upstream: &progress.upstream,
+        upstream_region: &progress.upstream_region,
         reason: progress.reason,
         status: reply.status,
         attempts: progress.sent_attempts,
@@ -90,6 +94,7 @@
         return Reply::failure(Kind::UnknownRoute, None);
     };
     progress.route = Arc::clone(&route.name);
+    progress.regions = route.regions.join(",");
     let service = core.splitter.borrow_mut().pick(&route);
     let service = service.and_then(|name| table.service(&name).cloned());
     let Some(service) = service else {
@@ -159,6 +164,7 @@
                 Err(retry_after) => return self.give_up("full", Some(retry_after), progress),
             };
             progress.upstream = Arc::clone(&endpoint.entry.id);
+            progress.upstream_region = Arc::clone(&endpoint.region);
             progress.reason = choice.reason.as_str();
             let started = self.core.clock.now();
             let is_queued = endpoint.load(started) >= f64::from(endpoint.slots());
--- a/components/gateway/src/reporting.rs
+++ b/components/gateway/src/reporting.rs
@@ -3,6 +3,7 @@
 //! docs/OPERATIONS.md shows how to get from a request's id to the cause of its failure.
 
 use crate::core::Origin;
+use crate::endpoint::Endpoint;
 use clock::Millis;
 use steering::catalogue::{Batch, Event};
 use telemetry::{Admission, names};
@@ -18,8 +19,12 @@
     pub route: &'a str,
     /// Name of the service, or empty if none was chosen.
     pub service: &'a str,
+    /// The regions that the route allows, or empty if it allows all.
+    pub regions: &'a str,
     /// Id of the last upstream chosen, or empty.
     pub upstream: &'a str,
+    /// Its region.
+    pub upstream_region: &'a str,
     /// Why that upstream was chosen, or the last failure.
     pub reason: &'a str,
     /// Status code of the response.
@@ -56,7 +61,9 @@
             object = record.object,
             route = record.route,
             service = record.service,
+            regions = record.regions,
             upstream = record.upstream,
+            upstream_region = record.upstream_region,
             reason = record.reason,
             status = record.status,
             attempts = record.attempts,
@@ -82,6 +89,17 @@
     }
 }
 
+/// Logs that another upstream has the address of `endpoint`; `connection` is whether the connection
+/// was new or kept.
+pub fn upstream_replaced(request: &str, endpoint: &Endpoint, connection: &str) {
+    let address = endpoint.entry.address.to_string();
+    log::info!(
+        target: "attempt", request = request, upstream = endpoint.entry.id.as_ref(),
+        region = endpoint.region.as_ref(), address = address.as_str(), connection = connection;
+        "another upstream answers at the address; sending no more requests there"
+    );
+}
+
 /// Logs a batch of changes before it is applied; `known` is the revision up to which this VM knows
 /// the feed. Long polls that ended without a change are left out.
 pub fn batch_received(batch: &Batch, known: u64, origin: &Origin) {
