Send no retry to a region that the configuration in force does not allow

A request kept the route that it was read with for all of its attempts. If a version came into force that restricts the route to other regions, a retry, or an attempt whose connection was still being opened, went to the former homes for as long as the request's deadline allowed, with no bound of the configuration.

Each attempt now needs an upstream that both configurations allow, at its choice and again right before the request is sent. Homes are never widened: a request that was read under other homes is refused or fails rather than follow the route to regions that it was not allowed when its caller sent it.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use clock::Millis;
 use http1::{Error, Framing, Headers, Reader, Request, Response, encode};
 use std::rc::Rc;
+use steering::routing::{Homes, Table};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc;
 
@@ -40,6 +41,24 @@
     pub id: Bytes,
     /// When the caller must have the response.
     pub deadline: Millis,
+    /// The routes that were in force when the request was read.
+    pub table: Rc<Table>,
+    /// The regions that they allow.
+    pub homes: Homes,
+}
+
+impl Job {
+    /// The regions that may get the request now: the configuration in force must allow them too.
+    pub fn homes(&self, core: &Core) -> Homes {
+        let mut homes = self.homes.clone();
+        let table = core.table();
+        if Rc::ptr_eq(&table, &self.table) {
+            return homes;
+        }
+        let host = self.head.headers.text("host").unwrap_or_default();
+        table.restrict(&mut homes, host, self.head.path());
+        homes
+    }
 }
 
 /// Sends `job` to `endpoint` and waits for the response.
@@ -59,6 +78,10 @@
         keep(core, endpoint, connection, None);
         return Outcome::Failed(Cause::UpstreamLeft);
     }
+    if !job.homes(core).allows(&endpoint.region) {
+        keep(core, endpoint, connection, None);
+        return Outcome::Failed(Cause::OutsideHomes);
+    }
     let remaining = job.deadline - now + DEADLINE_MARGIN;
     match tokio::time::timeout(
         remaining.duration(),
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use steering::affinity::Reason;
 use steering::catalogue::Feed;
-use steering::routing::{Effect, Route, Service};
+use steering::routing::{Effect, Homes, Route, Service};
 
 /// Deadline of requests whose caller gives none.
 const DEFAULT_DEADLINE: Millis = Millis::from_secs(30);
@@ -108,7 +108,9 @@
         return Reply::failure(Kind::Leaving, Some(MIN_RETRY_AFTER));
     }
     core.retry_budget.borrow_mut().record_request(&service.name, arrived);
-    let job = Job { head, body, id, deadline };
+    let mut homes = Homes::default();
+    table.restrict(&mut homes, host, head.path());
+    let job = Job { head, body, id, deadline, table, homes };
     Attempts {
         core,
         route: &route,
@@ -209,9 +211,11 @@
 
     fn place(&self, now: Millis) -> Result<(Rc<Endpoint>, steering::affinity::Choice), Millis> {
         let object = self.job.head.headers.get(self.core.protocol.names().object);
+        let homes = self.job.homes(self.core);
         let demand = Demand {
             route: self.route,
             service: self.service,
+            homes: &homes,
             object: object.map(|object| object.as_ref()).unwrap_or_default(),
             tried: &self.tried,
             elapsed: now - self.arrived,
@@ -239,7 +243,7 @@
                 false
             }
             Outcome::Failed(Cause::Shed) => endpoint.load(now) < f64::from(endpoint.slots()),
-            Outcome::Failed(Cause::Deadline | Cause::UpstreamLeft) => false,
+            Outcome::Failed(Cause::Deadline | Cause::UpstreamLeft | Cause::OutsideHomes) => false,
             Outcome::Response(_) | Outcome::Failed(_) | Outcome::TimedOut => true,
         };
         if has_failed && endpoint.record_failure(now) {
@@ -280,7 +284,8 @@
         if self.may_have_run {
             return Reply::failure(Kind::UpstreamBroken, None);
         }
-        if let Some(pause) = placement::pause(self.core, self.route, self.service) {
+        let homes = self.job.homes(self.core);
+        if let Some(pause) = placement::pause(self.core, &homes, self.service) {
             progress.reason = "paused";
             return Reply::failure(Kind::Overloaded, Some(pause.max(MIN_RETRY_AFTER)));
         }
--- a/components/gateway/src/outcome.rs
+++ b/components/gateway/src/outcome.rs
@@ -23,6 +23,9 @@
     /// Before anything was sent, the upstream's entry was removed or replaced, or it stated that it
     /// takes no requests.
     UpstreamLeft,
+    /// Before anything was sent, a configuration came into force that does not allow the upstream's
+    /// region.
+    OutsideHomes,
     /// The address belongs to another upstream now (status 421).
     Misdirected,
     /// The upstream shed the request, stating that it did not execute it.
@@ -60,7 +63,9 @@
     /// What the failure implies about the execution of the request.
     pub const fn execution(self) -> Execution {
         match self {
-            Cause::Connect | Cause::Deadline | Cause::UpstreamLeft => Execution::NotSent,
+            Cause::Connect | Cause::Deadline | Cause::UpstreamLeft | Cause::OutsideHomes => {
+                Execution::NotSent
+            }
             Cause::Misdirected | Cause::Shed => Execution::NotRun,
             Cause::Closed
             | Cause::Reset
@@ -79,6 +84,7 @@
             Cause::Connect => "connect",
             Cause::Deadline => "deadline",
             Cause::UpstreamLeft => "left",
+            Cause::OutsideHomes => "outside the homes",
             Cause::Misdirected => "another upstream",
             Cause::Shed => "shed",
             Cause::Closed => "closed",
--- a/components/gateway/tests/world/upstream.rs
+++ b/components/gateway/tests/world/upstream.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 /// How an upstream treats a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -72,6 +73,8 @@
     /// The behaviours for the next requests; the last one is repeated.
     script: RefCell<VecDeque<Behaviour>>,
     executed: RefCell<Vec<Executed>>,
+    /// The paths of all requests that reached it.
+    received: RefCell<Vec<String>>,
     cancelled: RefCell<Vec<String>>,
     completed: RefCell<Vec<String>>,
     connections: std::cell::Cell<usize>,
@@ -82,6 +85,8 @@
     flooded: std::cell::Cell<u64>,
     /// What it sends as soon as a connection is opened.
     greeting: RefCell<Vec<u8>>,
+    /// The tasks that accept and serve connections.
+    tasks: RefCell<Vec<JoinHandle<()>>>,
 }
 
 impl Standin {
@@ -92,6 +97,7 @@
             address,
             script: RefCell::new([Behaviour::Respond].into()),
             executed: RefCell::default(),
+            received: RefCell::default(),
             cancelled: RefCell::default(),
             completed: RefCell::default(),
             connections: std::cell::Cell::default(),
@@ -99,14 +105,17 @@
             flooding: std::cell::Cell::default(),
             flooded: std::cell::Cell::default(),
             greeting: RefCell::default(),
+            tasks: RefCell::default(),
         });
         let shared = Rc::clone(&standin);
-        tokio::task::spawn_local(async move {
+        let accepting = tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 shared.connections.set(shared.connections.get() + 1);
-                tokio::task::spawn_local(Rc::clone(&shared).serve(stream));
+                let serving = tokio::task::spawn_local(Rc::clone(&shared).serve(stream));
+                shared.tasks.borrow_mut().push(serving);
             }
         });
+        standin.tasks.borrow_mut().push(accepting);
         standin
     }
 
@@ -116,6 +125,23 @@
         *self.script.borrow_mut() = behaviours.into();
     }
 
+    /// Ends it as a crash does: its connections are closed, and its address is free.
+    pub async fn crash(&self) {
+        let tasks = std::mem::take(&mut *self.tasks.borrow_mut());
+        for task in &tasks {
+            task.abort();
+        }
+        for task in tasks {
+            // An aborted task ends with an error.
+            let _ = task.await;
+        }
+    }
+
+    /// The paths of all requests that reached it, also of those that it did not execute.
+    pub fn received(&self) -> Vec<String> {
+        self.received.borrow().clone()
+    }
+
     /// The requests that it began to execute.
     pub fn executed(&self) -> Vec<Executed> {
         self.executed.borrow().clone()
@@ -172,6 +198,7 @@
             let Ok(body) = reader.body(10_000_000).await else {
                 return;
             };
+            self.received.borrow_mut().push(head.path().to_owned());
             let behaviour = {
                 let mut script = self.script.borrow_mut();
                 if script.len() > 1 { script.pop_front() } else { script.front().cloned() }
--- a/components/steering/src/routing.rs
+++ b/components/steering/src/routing.rs
@@ -2,9 +2,11 @@
 //!
 //! See docs/DATAPATH.md, "Routes".
 
+mod homes;
 mod split;
 mod table;
 
+pub use homes::Homes;
 pub use split::Splitter;
 pub use table::Table;
 
--- a/components/steering/src/routing/table.rs
+++ b/components/steering/src/routing/table.rs
@@ -1,4 +1,4 @@
-use super::{Configuration, Limits, Route, Service};
+use super::{Configuration, Homes, Limits, Route, Service};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -45,6 +45,13 @@
         routes.iter().find(|route| path.starts_with(route.prefix.as_ref()))
     }
 
+    /// Restricts `homes` to the regions that may get a request.
+    pub fn restrict(&self, homes: &mut Homes, host: &str, path: &str) {
+        if let Some(route) = self.route(host, path) {
+            homes.restrict(route);
+        }
+    }
+
     /// The service called `name`.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
