Log what a look-up's answer was based on

A 'look-up answered' line didn't tell whether the VM was ready, how many ready VMs of the caller's region it knew, and whether it named VMs of other regions; a refused look-up had no line at all. Whether requests leave their region because of a look-up couldn't be decided from logs.

--- a/components/gateway/src/lookup.rs
+++ b/components/gateway/src/lookup.rs
@@ -18,6 +18,15 @@
 /// Limit of entry VMs in one response.
 const MAX_ADDRESSES: usize = 64;
 
+/// The entry VMs that a look-up names.
+struct Selection {
+    addresses: Vec<SocketAddr>,
+    /// Ready VMs of the region that this VM knows, including itself.
+    ready_in_region: usize,
+    /// Ready VMs of all regions that this VM knows, including itself.
+    ready: usize,
+}
+
 /// Handles a look-up.
 pub fn look_up(core: &Core, request: &Request) -> Reply {
     if request.path() != core.protocol.names().lookup_path {
@@ -26,26 +35,44 @@
     let query = core.protocol.parse_lookup(request.query());
     let settings = core.settings();
     let region = query.region.unwrap_or_else(|| Arc::clone(&settings.region));
-    let addresses = select_vms(core, &region);
-    if addresses.is_empty() {
+    let selection = select_vms(core, &region);
+    let lease = LEASE.min(settings.bounds.lease_max);
+    log_look_up(core, &region, &selection, lease);
+    if selection.addresses.is_empty() {
         return Reply::failure(Kind::NotReady, None);
     }
-    let lease = LEASE.min(settings.bounds.lease_max);
     metrics::counter!(telemetry::names::LOOKUPS).increment(1);
-    if telemetry::admit_line() != telemetry::Admission::Suppressed {
-        log::info!(
-            target: "lookup", region = region.as_ref(), vms = addresses.len(), lease_ms = lease.0;
-            "look-up answered"
-        );
-    }
     let mut headers = Headers::default();
     headers.push("Content-Type", "application/json");
-    let body = core.protocol.lookup_response(&addresses, lease);
+    let body = core.protocol.lookup_response(&selection.addresses, lease);
     Reply { status: 200, headers, body: Body::Full(body) }
 }
 
-/// Addresses of ready entry VMs in `region`, or in all regions if it has none.
-fn select_vms(core: &Core, region: &str) -> Vec<SocketAddr> {
+/// Logs a look-up, unless too many lines of requests were logged within the second.
+fn log_look_up(core: &Core, region: &str, selection: &Selection, lease: Millis) {
+    if telemetry::admit_line() == telemetry::Admission::Suppressed {
+        return;
+    }
+    let Selection { addresses, ready_in_region, ready } = selection;
+    let up_ms = (core.clock.now() - core.started).0;
+    if addresses.is_empty() {
+        log::info!(
+            target: "lookup", region = region, vm_ready = core.is_ready(), up_ms = up_ms,
+            known = core.members.borrow().alive(core.clock.now()).count();
+            "look-up refused: no ready entry VM is known"
+        );
+        return;
+    }
+    log::info!(
+        target: "lookup", region = region, vms = addresses.len(), lease_ms = lease.0,
+        vm_ready = core.is_ready(), up_ms = up_ms, ready_in_region = ready_in_region, ready = ready,
+        elsewhere = *ready_in_region == 0;
+        "look-up answered"
+    );
+}
+
+/// Selects ready entry VMs in `region`, or in all regions if it has none.
+fn select_vms(core: &Core, region: &str) -> Selection {
     let now = core.clock.now();
     let regions = &core.settings().regions;
     let members = core.members.borrow();
@@ -59,7 +86,7 @@
     let mut addresses: Vec<SocketAddr> = selected.iter().map(|member| member.callers).collect();
     addresses.sort_unstable();
     addresses.truncate(MAX_ADDRESSES);
-    addresses
+    Selection { addresses, ready_in_region: in_region.len(), ready: ready.len() }
 }
 
 /// Handles the readiness check.
