Refuse look-ups until a VM that has started knows the others

Callers were sent to VMs of other regions, or to three VMs of a region of thirty. Cause: a VM that has just started answers look-ups from the members that it has heard of by then, 12 to 90 ms after its start. A peer tells a VM of all it knows only if it first hears of that VM from itself; if another told it before, or the seed has just started too, nobody does, and the rest comes by chance.

Change: a VM answers once it knows nine tenths of the live VMs that a converged peer knows, and asks such a peer for them; after 1 s if there is no such peer, and after 3 s in any case. Until then it refuses with 503, and callers ask the next VM at once. Heartbeats carry the two statements behind the parts that earlier versions read.

Both tests fail without it: the first answer is ["127.246.1.4:7101"], of the other region, and ["127.246.2.3:7101"] instead of both VMs.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use steering::catalogue::{Batch, Catalogue, Event, Feed};
+use steering::convergence::Convergence;
 use steering::cross_region::Limiter;
 use steering::echo::Echoes;
 use steering::membership::{Member, Members};
@@ -86,6 +87,8 @@
     pub upstreams: RefCell<Upstreams>,
     /// The other entry VMs.
     pub members: RefCell<Members>,
+    /// Whether this VM knows the others well enough to answer look-ups.
+    pub convergence: RefCell<Convergence>,
     /// Stamps of peers' heartbeats, which date the next ones.
     pub echoes: RefCell<Echoes>,
     /// This VM's own membership entry, sent in heartbeats.
@@ -163,6 +166,7 @@
                 MEMBER_TIMEOUT,
                 BUDGET_SHARE_RETENTION,
             )),
+            convergence: RefCell::new(Convergence::new(now)),
             echoes: RefCell::new(Echoes::new(rand::random(), now)),
             own_member: RefCell::new(member),
             cross_region: RefCell::new(Limiter::new(bounds.max_shift, now)),
@@ -213,6 +217,28 @@
         !self.is_stopping() && self.catalogue.borrow().is_complete()
     }
 
+    /// The live VMs that this VM knows, including itself.
+    pub fn live_count(&self) -> usize {
+        self.members.borrow().alive(self.clock.now()).count() + 1
+    }
+
+    /// Whether this VM knows the others well enough to answer look-ups.
+    pub fn has_converged(&self) -> bool {
+        let mut convergence = self.convergence.borrow_mut();
+        if convergence.has_converged() {
+            return true;
+        }
+        let (live, now) = (self.live_count(), self.clock.now());
+        if convergence.judge(live, now) {
+            log::info!(
+                target: "belief", live = live, told = convergence.told(),
+                up_ms = (now - self.started).0;
+                "the deployment's VMs are known; answering look-ups"
+            );
+        }
+        convergence.has_converged()
+    }
+
     /// The number of entry VMs that may send to upstreams, including this one and those that died a
     /// short time ago.
     pub fn sender_count(&self) -> usize {
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -78,6 +78,20 @@
     echo: Option<Echo>,
 }
 
+/// What follows a [`Timing`] in the same datagram: what the sender knows of the deployment's VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct View {
+    /// The live VMs that the sender knows, including itself, once it has converged.
+    live: Option<usize>,
+    /// Whether the sender asks for all VMs that the receiver knows.
+    asks_members: bool,
+}
+
+impl View {
+    /// What is assumed of a sender that doesn't say.
+    const NONE: View = View { live: None, asks_members: false };
+}
+
 /// A revision that a peer has and this VM lacks.
 #[derive(Clone, Debug)]
 pub struct NewerRevision {
@@ -151,17 +165,32 @@
     }
 }
 
-/// Sends an encoded heartbeat, with its timing for `target`.
+/// Sends an encoded heartbeat, with its timing for `target` and this VM's view.
 async fn send_to(core: &Core, socket: &UdpSocket, bytes: &[u8], target: SocketAddr) {
+    send_with(core, socket, bytes, target, false).await;
+}
+
+/// Sends an encoded heartbeat; `asks_members` is whether `target` shall send all VMs that it knows.
+async fn send_with(
+    core: &Core,
+    socket: &UdpSocket,
+    bytes: &[u8],
+    target: SocketAddr,
+    asks_members: bool,
+) {
     let mut datagram = bytes.to_vec();
+    let live = core.has_converged().then(|| core.live_count());
+    let view = View { live, asks_members };
     let timing = {
         let (echoes, now) = (core.echoes.borrow(), core.clock.now());
         Timing { stamp: echoes.stamp(now), echo: echoes.echo(target, now) }
     };
-    if let Err(error) = rmp_serde::encode::write(&mut datagram, &timing) {
+    let encoded = rmp_serde::encode::write(&mut datagram, &timing)
+        .and_then(|()| rmp_serde::encode::write(&mut datagram, &view));
+    if let Err(error) = encoded {
         log::error!(
             target: "heartbeat", cause:% = error;
-            "can't encode the timing of a heartbeat; not sending it"
+            "can't encode the timing and view of a heartbeat; not sending it"
         );
         return;
     }
@@ -192,13 +221,21 @@
             }
         };
         match decode(&buffer[..length]) {
-            Ok((heartbeat, extension, timing)) => {
+            Ok((heartbeat, extension, timing, view)) => {
                 let sender = heartbeat.members.first().cloned();
                 let made = sender.as_ref().and_then(|sender| date(&core, sender, timing?));
-                if let Some(joined) = apply(&core, heartbeat, &extension, made, &on_newer) {
+                let joined = apply(&core, heartbeat, &extension, made, &on_newer);
+                if let Some(joined) = joined {
                     send_members(&core, &socket, joined).await;
                 }
                 if let Some(sender) = sender {
+                    if view.asks_members && joined.is_none() {
+                        send_members(&core, &socket, sender.heartbeats).await;
+                    }
+                    if lacks_members(&core, view) {
+                        let bytes = encode(&core, Vec::new(), &[], false);
+                        send_with(&core, &socket, &bytes, sender.heartbeats, true).await;
+                    }
                     let known = core.members.borrow().superseding(&sender).cloned();
                     if extension.asks || known.is_some() {
                         let bytes = encode(&core, known.into_iter().collect(), &[], false);
@@ -216,12 +253,19 @@
     }
 }
 
-/// Sends all live peers to a VM that has just joined, so that it knows the whole deployment at
-/// once.
-async fn send_members(core: &Core, socket: &UdpSocket, joined: SocketAddr) {
+/// Whether a peer with the given view knows many VMs that this one doesn't know, and is to be asked
+/// for them now.
+fn lacks_members(core: &Core, view: View) -> bool {
+    let (live, now) = (core.live_count(), core.clock.now());
+    view.live.is_some_and(|peers| core.convergence.borrow_mut().record_peer(peers, live, now))
+}
+
+/// Sends all live peers to a VM that has just joined or asks for them, so that it knows the whole
+/// deployment at once.
+async fn send_members(core: &Core, socket: &UdpSocket, target: SocketAddr) {
     let alive: Vec<Member> = core.members.borrow().alive(core.clock.now()).cloned().collect();
     for members in alive.chunks(JOIN_MEMBERS) {
-        send_to(core, socket, &encode(core, members.to_vec(), &[], false), joined).await;
+        send_to(core, socket, &encode(core, members.to_vec(), &[], false), target).await;
     }
 }
 
@@ -308,7 +352,7 @@
 }
 
 /// The parts of a datagram.
-type Datagram = (Heartbeat, Extension, Option<Timing>);
+type Datagram = (Heartbeat, Extension, Option<Timing>, View);
 
 /// Decodes a datagram.
 fn decode(bytes: &[u8]) -> Result<Datagram, rmp_serde::decode::Error> {
@@ -316,7 +360,8 @@
     let heartbeat = Heartbeat::deserialize(&mut decoder)?;
     let extension = optional(Extension::deserialize(&mut decoder))?.unwrap_or(Extension::NONE);
     let timing = optional(Timing::deserialize(&mut decoder))?;
-    Ok((heartbeat, extension, timing))
+    let view = optional(View::deserialize(&mut decoder))?.unwrap_or(View::NONE);
+    Ok((heartbeat, extension, timing, view))
 }
 
 /// A part that VMs of earlier versions don't send.
--- a/components/gateway/src/lookup.rs
+++ b/components/gateway/src/lookup.rs
@@ -35,12 +35,21 @@
     let query = core.protocol.parse_lookup(request.query());
     let settings = core.settings();
     let region = query.region.unwrap_or_else(|| Arc::clone(&settings.region));
+    if !core.has_converged() {
+        log_refusal(
+            core,
+            &region,
+            "look-up refused: this VM has started and doesn't know the others",
+        );
+        return Reply::failure(Kind::NotReady, None);
+    }
     let selection = select_vms(core, &region);
-    let lease = LEASE.min(settings.bounds.lease_max);
-    log_look_up(core, &region, &selection, lease);
     if selection.addresses.is_empty() {
+        log_refusal(core, &region, "look-up refused: no ready entry VM is known");
         return Reply::failure(Kind::NotReady, None);
     }
+    let lease = LEASE.min(settings.bounds.lease_max);
+    log_answer(core, &region, &selection, lease);
     metrics::counter!(telemetry::names::LOOKUPS).increment(1);
     let mut headers = Headers::default();
     headers.push("Content-Type", "application/json");
@@ -48,29 +57,32 @@
     Reply { status: 200, headers, body: Body::Full(body) }
 }
 
-/// Logs a look-up, unless too many lines of requests were logged within the second.
-fn log_look_up(core: &Core, region: &str, selection: &Selection, lease: Millis) {
+/// Logs an answer to a look-up, unless too many lines of requests were logged within the second.
+fn log_answer(core: &Core, region: &str, selection: &Selection, lease: Millis) {
     if telemetry::admit_line() == telemetry::Admission::Suppressed {
         return;
     }
     let Selection { addresses, ready_in_region, ready } = selection;
-    let up_ms = (core.clock.now() - core.started).0;
-    if addresses.is_empty() {
-        log::info!(
-            target: "lookup", region = region, vm_ready = core.is_ready(), up_ms = up_ms,
-            known = core.members.borrow().alive(core.clock.now()).count();
-            "look-up refused: no ready entry VM is known"
-        );
-        return;
-    }
     log::info!(
         target: "lookup", region = region, vms = addresses.len(), lease_ms = lease.0,
-        vm_ready = core.is_ready(), up_ms = up_ms, ready_in_region = ready_in_region, ready = ready,
-        elsewhere = *ready_in_region == 0;
+        vm_ready = core.is_ready(), up_ms = (core.clock.now() - core.started).0,
+        ready_in_region = ready_in_region, ready = ready, elsewhere = *ready_in_region == 0;
         "look-up answered"
     );
 }
 
+/// Logs a refused look-up, unless too many lines of requests were logged within the second.
+fn log_refusal(core: &Core, region: &str, message: &str) {
+    if telemetry::admit_line() == telemetry::Admission::Suppressed {
+        return;
+    }
+    log::info!(
+        target: "lookup", region = region, vm_ready = core.is_ready(),
+        up_ms = (core.clock.now() - core.started).0, known = core.live_count() - 1;
+        "{message}"
+    );
+}
+
 /// Selects ready entry VMs in `region`, or in all regions if it has none.
 fn select_vms(core: &Core, region: &str) -> Selection {
     let now = core.clock.now();
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
+use steering::membership::Member;
 use steering::routing::{
     Configuration, Effect, Limits, Readiness, Route, Service, Target, Upstream,
 };
@@ -179,6 +180,23 @@
     }
 }
 
+/// An earlier description of the VM of this name, by which peers can reach it.
+pub fn member(vm: &Vm, name: &str, domain: &str, ready: bool) -> Member {
+    Member {
+        vm: name.into(),
+        domain: domain.into(),
+        callers: vm.callers(),
+        changes: SocketAddr::new(vm.ip, CHANGES),
+        heartbeats: vm.heartbeats(),
+        incarnation: 1,
+        beat: 1,
+        ready,
+        millicores: 1_000,
+        link_mbps: 1_000,
+        pressed: false,
+    }
+}
+
 pub fn entry(id: &str, address: SocketAddr, readiness: Readiness) -> Upstream {
     Upstream {
         id: id.into(),
--- a/components/gateway/tests/world/probe.rs
+++ b/components/gateway/tests/world/probe.rs
@@ -45,6 +45,19 @@
         self.send(vm, [revision; 2], [Some(0); 2], false).await;
     }
 
+    /// Tells the VM of other VMs, as if the probe had heard of them just now.
+    pub async fn introduce(&mut self, vm: SocketAddr, members: &[Member]) {
+        self.member.beat += 1;
+        let members = std::iter::once(&self.member).chain(members).cloned().collect();
+        let heartbeat: Heartbeat = (members, Vec::new(), [0; 2], [None; 2], None);
+        self.socket.send_to(&rmp_serde::to_vec(&heartbeat).unwrap(), vm).await.unwrap();
+    }
+
+    /// The address where the probe gets heartbeats.
+    pub fn address(&self) -> SocketAddr {
+        self.member.heartbeats
+    }
+
     /// Asks the VM for a heartbeat; returns the age of its copy of `feed`.
     pub async fn age(&mut self, vm: SocketAddr, feed: Feed) -> Option<Millis> {
         let mut buffer = [0; 4_096];
--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catalogue;
 pub mod choice;
 pub mod class;
+pub mod convergence;
 pub mod cross_region;
 pub mod echo;
 pub mod entry_selection;
