Log how large configurations are, how many routes change regions, and how transfers end

A poll or a request to a peer that timed out within the body looked like one that was never answered. The errors now say which it was, after how long and how many bytes had arrived. "configuration in force" has the number of routes and of those whose regions changed; changes of 64 KB or more that are sent to or fetched from a peer have a line of their own.

--- a/components/gateway/src/changes.rs
+++ b/components/gateway/src/changes.rs
@@ -23,6 +23,8 @@
 /// The timeouts are short, as there are other peers to ask.
 const CONNECTION_TIMEOUTS: Timeouts = Timeouts { connect: Millis(300), silence: Millis(1_500) };
 const MAX_BODY_BYTES: u64 = 8 * 1024 * 1024;
+/// Changes of this size take a while on a slow link, and are logged.
+const LARGE_BYTES: usize = 64 * 1024;
 const PATH: &str = "/changes";
 
 /// Handles a peer's request for changes.
@@ -45,6 +47,13 @@
     let batch = core.catalogue.borrow().changes_since(feed, after);
     match rmp_serde::to_vec(&batch) {
         Ok(bytes) => {
+            if bytes.len() >= LARGE_BYTES {
+                log::info!(
+                    target: "changes", feed = feed.as_str(), after = after, full = batch.full,
+                    rows = batch.changes.len(), bytes = bytes.len();
+                    "sending large changes to a peer"
+                );
+            }
             Reply { status: 200, headers: Headers::default(), body: Body::Full(bytes.into()) }
         }
         Err(error) => {
@@ -107,8 +116,18 @@
         media_type: "",
         timeout: REQUEST_TIMEOUT,
     };
+    let started = core.clock.now();
     match client.call(&call).await {
-        Ok((response, body)) if response.status == 200 => apply(core, &body, newer.peer),
+        Ok((response, body)) if response.status == 200 => {
+            if body.len() >= LARGE_BYTES {
+                log::info!(
+                    target: "changes", peer = newer.peer.as_ref(), bytes = body.len(),
+                    took_ms = (core.clock.now() - started).0;
+                    "large changes fetched from a peer"
+                );
+            }
+            apply(core, &body, newer.peer);
+        }
         Ok((response, _)) => {
             log::info!(
                 target: "changes", peer = newer.peer.as_ref(), status = response.status;
--- a/components/gateway/src/reporting.rs
+++ b/components/gateway/src/reporting.rs
@@ -119,10 +119,11 @@
 pub fn catalogue_events(events: &[Event], from: &str) {
     for event in events {
         match event {
-            Event::Configured { version } => {
+            Event::Configured { version, routes, regions_changed } => {
                 metrics::gauge!(names::VERSION).set(*version as f64);
                 log::info!(
-                    target: "belief", version = *version, from = from;
+                    target: "belief", version = *version, routes = *routes,
+                    regions_changed = *regions_changed, from = from;
                     "configuration in force"
                 );
             }
--- a/components/http1/src/client.rs
+++ b/components/http1/src/client.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
 
 /// The most bytes of a response's head.
 const HEAD_BYTES: usize = 16 * 1024;
@@ -50,9 +51,20 @@
         /// The error while writing the request or reading the response.
         source: Error,
     },
-    /// The call timed out; it may have been executed.
-    #[snafu(display("no response before the timeout"))]
-    TimedOut,
+    /// The call timed out before a response began; it may have been executed.
+    #[snafu(display("no response within {took}"))]
+    Unanswered {
+        /// Time since the call was made.
+        took: Millis,
+    },
+    /// The call timed out within the body of the response.
+    #[snafu(display("response incomplete after {took}: {received} bytes of its body received"))]
+    Incomplete {
+        /// Time since the call was made.
+        took: Millis,
+        /// Bytes of the body.
+        received: usize,
+    },
 }
 
 impl Client {
@@ -67,31 +79,35 @@
     ///
     /// Every [`Failure`].
     pub async fn call(&mut self, call: &Call<'_>) -> Result<(Response, Bytes), Failure> {
+        let started = Instant::now();
+        let deadline = started + call.timeout.duration();
         let idle = self.connection.take();
-        let exchange = self.exchange(idle, call);
-        let done = tokio::time::timeout(call.timeout.duration(), exchange).await;
-        let (response, body, connection) = done.map_err(|_| Failure::TimedOut)??;
+        let (response, mut connection) = timeout_at(deadline, self.begin(idle, call))
+            .await
+            .map_err(|_| Failure::Unanswered { took: since(started) })??;
+        let mut body = BytesMut::new();
+        timeout_at(deadline, receive(&mut connection, self.body_limit, &mut body))
+            .await
+            .map_err(|_| Failure::Incomplete { took: since(started), received: body.len() })??;
         self.connection = response.keep_alive.then_some(connection);
-        Ok((response, body))
+        Ok((response, body.freeze()))
     }
 
-    async fn exchange(
+    /// Sends the call and reads the head of the response.
+    async fn begin(
         &self,
         idle: Option<Reader<TcpStream>>,
         call: &Call<'_>,
-    ) -> Result<(Response, Bytes, Reader<TcpStream>), Failure> {
+    ) -> Result<(Response, Reader<TcpStream>), Failure> {
         let mut connection = match reusable(idle).await {
             Some(connection) => connection,
             None => self.connect().await?,
         };
-        let no_response = |source| Failure::NoResponse { source };
         let bytes = self.encode(call);
         let written = connection.stream_mut().write_all(&bytes).await;
         written.map_err(|source| no_response(Error::Broken { source }))?;
         let response = connection.response(call.method.as_bytes(), HEAD_BYTES).await;
-        let response = response.map_err(no_response)?;
-        let body = connection.body(self.body_limit).await.map_err(no_response)?;
-        Ok((response, body, connection))
+        Ok((response.map_err(no_response)?, connection))
     }
 
     async fn connect(&self) -> Result<Reader<TcpStream>, Failure> {
@@ -115,6 +131,29 @@
     }
 }
 
+/// Appends the body of the response to `body`.
+async fn receive(
+    connection: &mut Reader<TcpStream>,
+    limit: u64,
+    body: &mut BytesMut,
+) -> Result<(), Failure> {
+    while let Some(piece) = connection.data().await.map_err(no_response)? {
+        body.extend_from_slice(&piece);
+        if body.len() as u64 > limit {
+            return Err(no_response(Error::BodyTooLarge { limit }));
+        }
+    }
+    Ok(())
+}
+
+fn no_response(source: Error) -> Failure {
+    Failure::NoResponse { source }
+}
+
+fn since(started: Instant) -> Millis {
+    Millis(started.elapsed().as_millis() as u64)
+}
+
 async fn reusable(idle: Option<Reader<TcpStream>>) -> Option<Reader<TcpStream>> {
     let mut idle = idle?;
     idle.is_reusable().await.then_some(idle)
--- a/components/steering/src/catalogue.rs
+++ b/components/steering/src/catalogue.rs
@@ -82,6 +82,11 @@
     Configured {
         /// Its version.
         version: u64,
+        /// The number of its routes.
+        routes: usize,
+        /// The number of routes that are limited to other regions than before, with those that
+        /// were not limited before, or are not any more.
+        regions_changed: usize,
     },
     /// A failure domain is evacuated.
     Evacuated(Arc<str>),
--- a/components/steering/src/catalogue/state.rs
+++ b/components/steering/src/catalogue/state.rs
@@ -175,10 +175,15 @@
     ) {
         match (&change.content, before) {
             (Content::Configuration(configuration), _) => {
-                let known = self.configuration.as_ref().map(|known| known.version);
-                if known.is_none_or(|known| configuration.version > known) {
+                let known = self.configuration.as_ref();
+                if known.is_none_or(|known| configuration.version > known.version) {
+                    events.push(Event::Configured {
+                        version: configuration.version,
+                        routes: configuration.routes.len(),
+                        regions_changed: known
+                            .map_or(0, |known| configuration.regions_changed(known)),
+                    });
                     self.configuration = Some(Arc::clone(configuration));
-                    events.push(Event::Configured { version: configuration.version });
                 }
             }
             (Content::Evacuation(domain), _) => events.push(Event::Evacuated(Arc::clone(domain))),
--- a/components/steering/src/routing.rs
+++ b/components/steering/src/routing.rs
@@ -12,6 +12,7 @@
 
 use clock::Millis;
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// How often a request may run.
@@ -121,6 +122,23 @@
     pub limits: Limits,
 }
 
+impl Configuration {
+    /// The number of routes that `other` and this configuration limit to different regions.
+    pub fn regions_changed(&self, other: &Configuration) -> usize {
+        let (own, others) = (self.limited_routes(), other.limited_routes());
+        let changed = own.iter().filter(|(key, regions)| others.get(*key) != Some(*regions));
+        changed.count() + others.keys().filter(|key| !own.contains_key(*key)).count()
+    }
+
+    /// The routes that not all regions may serve, by host and prefix.
+    fn limited_routes(&self) -> HashMap<(&str, &str), &[Arc<str>]> {
+        let limited = self.routes.iter().filter(|route| !route.regions.is_empty());
+        let by_key = limited
+            .map(|route| ((route.host.as_ref(), route.prefix.as_ref()), route.regions.as_slice()));
+        by_key.collect()
+    }
+}
+
 /// Whether an upstream takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Readiness {
--- a/components/steering/tests/catalogue.rs
+++ b/components/steering/tests/catalogue.rs
@@ -5,7 +5,7 @@
 use proptest::test_runner::RngSeed;
 use std::sync::Arc;
 use steering::catalogue::{Batch, Catalogue, Change, Content, Event, Feed};
-use steering::routing::{Configuration, Readiness, Upstream};
+use steering::routing::{Configuration, Effect, Readiness, Route, Upstream};
 
 const NOW: Millis = Millis(10_000);
 const RETENTION: Millis = Millis(1_300);
@@ -69,6 +69,40 @@
     assert_eq!(catalogue.configuration().unwrap().version, 8);
 }
 
+/// Guards against a log that doesn't show which version sent requests to other regions.
+#[test]
+fn a_new_configuration_tells_how_many_routes_changed_their_regions() {
+    let route = |prefix: &str, regions: &[&str]| {
+        Arc::new(Route {
+            name: prefix.into(),
+            host: "a.example".into(),
+            prefix: prefix.into(),
+            effect: Effect::Idempotent,
+            timeout: None,
+            objective: Millis(300),
+            attempts: 1,
+            priority: 0,
+            regions: regions.iter().map(|region| (*region).into()).collect(),
+            affinity: false,
+            targets: Vec::new(),
+        })
+    };
+    let mut catalogue = Catalogue::default();
+    let mut configure = |version, routes| {
+        let configuration = Configuration { version, routes, ..Configuration::default() };
+        let content = Content::Configuration(Arc::new(configuration));
+        let rows = vec![change("config", version, content)];
+        catalogue.apply(batch(Feed::Operators, false, version, rows), NOW, RETENTION)
+    };
+    let first = vec![route("/a/", &["r1"]), route("/b/", &["r1"]), route("/c/", &[])];
+    let second = vec![route("/a/", &["r1"]), route("/b/", &["r2"]), route("/c/", &["r1"])];
+    let third = vec![route("/c/", &["r1"]), route("/d/", &[])];
+    for (version, routes, regions_changed) in [(1, first, 0), (2, second, 2), (3, third, 2)] {
+        let expected = Event::Configured { version, routes: routes.len(), regions_changed };
+        assert_eq!(configure(version, routes), [expected]);
+    }
+}
+
 #[test]
 fn an_unreadable_configuration_leaves_the_old_one_in_force() {
     let mut catalogue = Catalogue::default();
