Answer look-ups without a known region for the failure domain or the VM's own region

A look-up whose region no VM has was answered with the VMs of all regions, so two thirds of its caller's requests left the region.

Now the first of these counts that the settings know: the region, the region of the failure domain, this VM's own.

--- a/components/gateway/src/lookup.rs
+++ b/components/gateway/src/lookup.rs
@@ -8,7 +8,6 @@
 use http1::{Headers, Request};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use steering::entry_selection;
 use steering::membership::Member;
 
@@ -34,7 +33,12 @@
     }
     let query = core.protocol.parse_lookup(request.query());
     let settings = core.settings();
-    let region = query.region.unwrap_or_else(|| Arc::clone(&settings.region));
+    let region = entry_selection::caller_region(
+        &settings.regions,
+        query.region.as_deref(),
+        query.domain.as_deref(),
+        &settings.region,
+    );
     if !core.has_converged() {
         log_refusal(
             core,
--- a/components/gateway/tests/lookups.rs
+++ b/components/gateway/tests/lookups.rs
@@ -74,3 +74,27 @@
     })
     .await;
 }
+
+/// Guards against callers that are sent to other regions: a look-up of a region that no VM knows
+/// was answered with the VMs of all regions, also if it gave the caller's failure domain.
+#[tokio::test]
+async fn a_look_up_without_a_known_region_is_answered_by_failure_domain_or_own_region() {
+    run_test(async |world| {
+        let (_upstream, a) = world.serving().await;
+        let far = far_gateway(&world, "far", &a).await;
+        let (near, far) = ([a.callers().to_string()], [far.callers().to_string()]);
+        until(async || a.look_up("r1").await == near && a.look_up("r2").await == far).await;
+        for (query, expected) in [
+            ("", &near),
+            ("region=", &near),
+            ("region=nowhere", &near),
+            ("domain=d2", &far),
+            ("region=nowhere&domain=d2", &far),
+            ("region=nowhere&domain=nowhere", &near),
+            ("region=r1&domain=d2", &near),
+        ] {
+            assert_eq!(a.look_up_with(query).await, expected, "{query}");
+        }
+    })
+    .await;
+}
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -165,8 +165,13 @@
     }
 
     pub async fn look_up(&self, region: &str) -> Vec<String> {
+        self.look_up_with(&format!("region={region}")).await
+    }
+
+    /// The VMs that the VM names to a look-up with this query, or none if it refuses.
+    pub async fn look_up_with(&self, query: &str) -> Vec<String> {
         let mut caller = Caller::connect(SocketAddr::new(self.ip, LOOKUPS)).await;
-        caller.send(&format!("GET /lookup?region={region} HTTP/1.1\r\nHost: x\r\n\r\n")).await;
+        caller.send(&format!("GET /lookup?{query} HTTP/1.1\r\nHost: x\r\n\r\n")).await;
         let reply = caller.response().await.unwrap();
         let lines = reply.text();
         lines.lines().filter(|_| reply.status == 200).map(str::to_owned).collect()
--- a/components/gateway/tests/world/protocol.rs
+++ b/components/gateway/tests/world/protocol.rs
@@ -27,8 +27,11 @@
     }
 
     fn parse_lookup(&self, query: &str) -> LookupQuery {
-        let region = query.strip_prefix("region=").map(Into::into);
-        LookupQuery { region, domain: None }
+        let value = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value.into())
+        };
+        LookupQuery { region: value("region"), domain: value("domain") }
     }
 
     fn lookup_response(&self, addresses: &[SocketAddr], _lease: Millis) -> Bytes {
--- a/components/steering/src/entry_selection.rs
+++ b/components/steering/src/entry_selection.rs
@@ -5,7 +5,8 @@
 //! load. The large VMs take all callers while they can. See docs/DATAPATH.md, "Look-ups".
 
 use crate::membership::Member;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 
 /// Fraction of the largest VM's CPU share and link bandwidth from which a VM counts as large.
 const LARGE_FRACTION: f64 = 0.5;
@@ -15,6 +16,22 @@
 /// the work that they would get if all VMs were returned.
 const MIN_LARGE_CPU: f64 = 0.4;
 
+/// The region of each failure domain.
+pub type Regions = HashMap<Arc<str>, Arc<str>>;
+
+/// The region of a caller that gives its `region` and failure `domain`, or `own` if neither is
+/// known.
+pub fn caller_region(
+    regions: &Regions,
+    region: Option<&str>,
+    domain: Option<&str>,
+    own: &Arc<str>,
+) -> Arc<str> {
+    let named = region.and_then(|region| regions.values().find(|each| ***each == *region));
+    let known = named.or_else(|| regions.get(domain?));
+    Arc::clone(known.unwrap_or(own))
+}
+
 /// The VMs to return out of the `ready` ones of a region: the large ones if they are sufficient,
 /// otherwise all.
 pub fn select<'a>(ready: &[&'a Member]) -> Vec<&'a Member> {
--- a/components/steering/tests/entry_selection.rs
+++ b/components/steering/tests/entry_selection.rs
@@ -1,7 +1,7 @@
 //! Look-ups return the large VMs of a region while those can carry its callers.
 
 use std::net::SocketAddr;
-use steering::entry_selection::select;
+use steering::entry_selection::{Regions, caller_region, select};
 use steering::membership::Member;
 
 fn member(name: &str, domain: &str, millicores: u32, link_mbps: u32) -> Member {
@@ -81,3 +81,23 @@
     region.iter_mut().take(4).for_each(|each| each.domain = "d1".into());
     assert_eq!(names(&region).len(), 30);
 }
+
+/// The regions of a large deployment: each has two failure domains.
+fn regions() -> Regions {
+    let domains = (0..6).map(|at| (format!("d{at}").into(), format!("r{}", at / 2).into()));
+    domains.collect()
+}
+
+/// Guards against callers that are sent to other regions: a look-up without a region, or with one
+/// that no VM knows.
+#[test]
+fn the_region_of_a_caller_is_that_of_its_failure_domain_if_it_names_none() {
+    let (regions, own) = (regions(), "r0".into());
+    let region = |region, domain| caller_region(&regions, region, domain, &own);
+    assert_eq!(&*region(Some("r2"), None), "r2");
+    assert_eq!(&*region(Some("r2"), Some("d0")), "r2");
+    assert_eq!(&*region(None, Some("d2")), "r1");
+    assert_eq!(&*region(Some("nowhere"), Some("d2")), "r1");
+    assert_eq!(&*region(Some("nowhere"), Some("nowhere")), "r0");
+    assert_eq!(&*region(None, None), "r0");
+}
