Spread callers of a region without VMs over all other regions

If a region has no ready VM, its callers were sent to a part of the others only: the VMs of all other regions were sorted by address and cut at 64, so that the regions with the greater addresses got nothing; and the large VMs were selected out of all regions together, so that a region whose VMs are smaller was left out. For the same reason a region of more than 64 VMs that selects all of them (too few large ones, or one under CPU pressure) sent all of its callers to the same 64.

Each region is now selected for itself. Of more than 64 VMs, the answering VM names those that rank first by rendezvous hashing with its own name, which stay the same from one look-up to the next.

--- a/components/gateway/src/lookup.rs
+++ b/components/gateway/src/lookup.rs
@@ -14,8 +14,6 @@
 /// Lease of a look-up. Callers use a VM that has left for at most this long; half of it would
 /// double the number of look-ups.
 const LEASE: Millis = Millis(2_000);
-/// Limit of entry VMs in one response.
-const MAX_ADDRESSES: usize = 64;
 
 /// The entry VMs that a look-up names.
 struct Selection {
@@ -87,22 +85,17 @@
     );
 }
 
-/// Selects ready entry VMs in `region`, or in all regions if it has none.
+/// Selects ready entry VMs in `region`, or in the other regions if it has none.
 fn select_vms(core: &Core, region: &str) -> Selection {
-    let now = core.clock.now();
-    let regions = &core.settings().regions;
+    let (settings, now) = (core.settings(), core.clock.now());
     let members = core.members.borrow();
     let own = core.own_member.borrow();
     let own = Some(&*own).filter(|_| core.is_ready());
     let ready: Vec<&Member> = members.alive(now).filter(|member| member.ready).chain(own).collect();
-    let is_in_region =
-        |member: &&Member| regions.get(&member.domain).is_some_and(|each| **each == *region);
-    let in_region: Vec<&Member> = ready.iter().copied().filter(is_in_region).collect();
-    let selected = entry_selection::select(if in_region.is_empty() { &ready } else { &in_region });
-    let mut addresses: Vec<SocketAddr> = selected.iter().map(|member| member.callers).collect();
+    let selected = entry_selection::select_for(&settings.vm, region, &ready, &settings.regions);
+    let mut addresses: Vec<SocketAddr> = selected.vms.iter().map(|member| member.callers).collect();
     addresses.sort_unstable();
-    addresses.truncate(MAX_ADDRESSES);
-    Selection { addresses, ready_in_region: in_region.len(), ready: ready.len() }
+    Selection { addresses, ready_in_region: selected.ready_in_region, ready: ready.len() }
 }
 
 /// Handles the readiness check.
--- a/components/steering/src/entry_selection.rs
+++ b/components/steering/src/entry_selection.rs
@@ -1,12 +1,18 @@
-//! Selects the entry VMs of a region that look-ups return.
+//! Selects the entry VMs that look-ups return: those of the caller's region, or of the others if it
+//! has none.
 //!
 //! Entry VMs differ in size. Each has its own connections to upstreams, so the fewer VMs carry the
 //! traffic, the more often connections are reused and the more each VM observes of the upstreams'
 //! load. The large VMs take all callers while they can. See docs/DATAPATH.md, "Look-ups".
 
 use crate::membership::Member;
-use std::collections::{BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Limit of entry VMs in one response.
+const MAX_VMS: usize = 64;
 
 /// Fraction of the largest VM's CPU share and link bandwidth from which a VM counts as large.
 const LARGE_FRACTION: f64 = 0.5;
@@ -19,6 +25,15 @@
 /// The region of each failure domain.
 pub type Regions = HashMap<Arc<str>, Arc<str>>;
 
+/// The entry VMs that a look-up returns.
+#[derive(Debug)]
+pub struct Selection<'a> {
+    /// The VMs.
+    pub vms: Vec<&'a Member>,
+    /// Ready VMs of the caller's region. If there are none, the selection is from other regions.
+    pub ready_in_region: usize,
+}
+
 /// The region of a caller that gives its `region` and failure `domain`, or `own` if neither is
 /// known.
 pub fn caller_region(
@@ -32,6 +47,38 @@
     Arc::clone(known.unwrap_or(own))
 }
 
+/// The VMs that `vm` returns to callers of `region`, out of the `ready` ones of all regions.
+pub fn select_for<'a>(
+    vm: &str,
+    region: &str,
+    ready: &[&'a Member],
+    regions: &Regions,
+) -> Selection<'a> {
+    let mut by_region: BTreeMap<Option<&str>, Vec<&Member>> = BTreeMap::new();
+    for member in ready {
+        let region = regions.get(&member.domain).map(AsRef::as_ref);
+        by_region.entry(region).or_default().push(member);
+    }
+    let near = by_region.get(&Some(region));
+    let vms = match near {
+        Some(near) => select(near),
+        None => by_region.values().flat_map(|far| select(far)).collect(),
+    };
+    Selection { vms: limit(vm, vms), ready_in_region: near.map_or(0, Vec::len) }
+}
+
+/// At most [`MAX_VMS`] of `vms`, by rendezvous hashing with the name of the VM that answers: a
+/// caller that asks the same VM again gets the same ones, and all VMs together return each of them
+/// about equally often.
+fn limit<'a>(vm: &str, mut vms: Vec<&'a Member>) -> Vec<&'a Member> {
+    if vms.len() > MAX_VMS {
+        let seed = xxh3_64(vm.as_bytes());
+        vms.sort_by_cached_key(|member| Reverse(xxh3_64_with_seed(member.vm.as_bytes(), seed)));
+        vms.truncate(MAX_VMS);
+    }
+    vms
+}
+
 /// The VMs to return out of the `ready` ones of a region: the large ones if they are sufficient,
 /// otherwise all.
 pub fn select<'a>(ready: &[&'a Member]) -> Vec<&'a Member> {
