Send requests with homes only to an upstream that is known to have the address

An upstream that ended may have its address given to an upstream of another service, in another region, after addr_reuse (2 s). Its entry goes after three silent renewals (4.5 s), and later on a VM that the store turns away. Until then the request of a caller found out: the other upstream answered 421, which the rule on homes doesn't exempt.

On routes with homes, a new connection is now checked first with the service's health check, whose response names the upstream. Connections that carried a response of the upstream need no check, nor does one that is open within addr_reuse of the sending of a request to which it responded. A check that names another upstream, or none within half of the time left, counts as not sent.

gateway/tests/regions before the change (the stand-in takes over the address): another_upstream_at_an_address_gets_no_request_with_homes left: (503, ["/read/1"]), right: (503, []) a_request_with_homes_goes_to_the_next_upstream_if_a_check_fails left: (200, "u2 /order/1"), right: (200, "u1 /order/1") a_change_before_a_request_is_sent_keeps_it_in_its_homes and an_upstream_is_checked_once_for_a_connection fail as there is no check yet. The other two new tests guard against checks that aren't needed or turn upstreams away; they passed before.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::connection::{Connection, idle_timeout, keep, open};
 use crate::core::Core;
 use crate::endpoint::{Endpoint, InFlight};
+use crate::identity;
 use crate::outcome::{Cause, Outcome};
 use crate::reply::{Body, Piece, Reply};
 use crate::reporting;
@@ -10,23 +11,25 @@
 use clock::Millis;
 use http1::{Error, Framing, Headers, Reader, Request, Response, encode};
 use std::rc::Rc;
-use steering::routing::{Homes, Table};
+use steering::routing::{Homes, Service, Table};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc;
 
-const MAX_HEAD_BYTES: usize = 16 * 1024;
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Bodies up to this size are buffered until complete, so that a truncated one can be retried.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 /// Responses to earlier requests that are skipped on one connection.
 const MAX_STRAY_RESPONSES: usize = 3;
 /// Bytes of a response's body that are discarded to go on with its connection.
-const MAX_SKIPPED_BYTES: u64 = 256 * 1024;
+pub const MAX_SKIPPED_BYTES: u64 = 256 * 1024;
 /// Time for these bytes. A response to an earlier request is complete, or nearly so, when the next
 /// one is read.
 const SKIP_TIMEOUT: Millis = Millis(250);
 /// Time to wait for the response beyond the deadline: an upstream that rejects the request at the
 /// deadline states whether it was executed.
 pub const DEADLINE_MARGIN: Millis = Millis(40);
+/// Connections that are opened for one attempt to learn which upstream is at the address.
+const MAX_CHECKS: usize = 2;
 /// Pieces of a streamed body that are buffered for the caller.
 const MAX_BUFFERED_PIECES: usize = 4;
 
@@ -61,11 +64,17 @@
     }
 }
 
-/// Sends `job` to `endpoint` and waits for the response.
-pub async fn run(core: &Rc<Core>, job: &Job, endpoint: &Rc<Endpoint>) -> Outcome {
+/// Sends `job` to `endpoint`, an upstream of `service`, and waits for the response.
+pub async fn run(
+    core: &Rc<Core>,
+    job: &Job,
+    service: &Service,
+    endpoint: &Rc<Endpoint>,
+) -> Outcome {
     let in_flight = endpoint.begin_request();
-    let Some(connection) = open(core, endpoint, &job.id, job.deadline).await else {
-        return Outcome::Failed(Cause::Connect);
+    let connection = match connect(core, job, service, endpoint).await {
+        Ok(connection) => connection,
+        Err(cause) => return Outcome::Failed(cause),
     };
     let now = core.clock.now();
     if now >= job.deadline {
@@ -94,6 +103,28 @@
     }
 }
 
+/// Takes or opens a connection for `job`. If the job has homes, it must not reach another upstream
+/// that has the address now, even though that one would not execute it.
+async fn connect(
+    core: &Core,
+    job: &Job,
+    service: &Service,
+    endpoint: &Endpoint,
+) -> Result<Connection, Cause> {
+    // An upstream that closes the connection after its check is known on the next one.
+    for _ in 0..MAX_CHECKS {
+        let connection = open(core, endpoint, &job.id, job.deadline).await;
+        let mut connection = connection.ok_or(Cause::Connect)?;
+        if connection.identified
+            || !job.homes(core).is_restricted()
+            || identity::check(core, job, service, endpoint, &mut connection).await?
+        {
+            return Ok(connection);
+        }
+    }
+    Err(Cause::Unidentified)
+}
+
 async fn exchange(
     core: &Rc<Core>,
     job: &Job,
@@ -101,7 +132,8 @@
     connection: Connection,
     in_flight: InFlight,
 ) -> Outcome {
-    let Connection { mut reader, mut writer, mut ids } = connection;
+    let Connection { mut reader, mut writer, mut ids, mut identified } = connection;
+    let sent_at = core.clock.now();
     let origin = if ids.is_empty() { "new" } else { "kept" };
     ids.record(&job.id);
     let bytes = encode_request(core, job, endpoint);
@@ -130,27 +162,38 @@
         Err(_) => return Outcome::Failed(Cause::Malformed),
     };
     let names = core.protocol.names();
-    if let Some(load) =
-        response.headers.text(names.load).and_then(|text| core.protocol.parse_load(text))
-    {
-        endpoint.record_load(load, core.clock.now());
-    }
+    record_load(core, endpoint, &response);
     if response.status == 421 {
         let request = std::str::from_utf8(&job.id).unwrap_or_default();
         reporting::upstream_replaced(request, endpoint, origin);
     }
     record_statement(core, endpoint, &response);
-    let connection = sent.then_some(Connection { reader, writer, ids });
-    if response.status == 421 || response.headers.get(names.not_run).is_some() {
+    let is_not_executed = response.status == 421 || response.headers.get(names.not_run).is_some();
+    // Only the upstream that the request names executes it. The response may have been on its way
+    // for long, so that the time counts from the request.
+    if !is_not_executed {
+        identified = true;
+        endpoint.record_identity(sent_at + core.settings().bounds.address_reuse);
+    }
+    let connection = sent.then_some(Connection { reader, writer, ids, identified });
+    if is_not_executed {
         return not_executed(core, endpoint, &response, connection);
     }
     let delivery = Delivery { core, job, endpoint, in_flight };
     delivery.deliver(response, connection).await
 }
 
+/// Records the load in the response.
+pub fn record_load(core: &Core, endpoint: &Endpoint, response: &Response) {
+    let text = response.headers.text(core.protocol.names().load);
+    if let Some(load) = text.and_then(|text| core.protocol.parse_load(text)) {
+        endpoint.record_load(load, core.clock.now());
+    }
+}
+
 /// Records what the upstream states about itself. Status 421 comes from another upstream, which has
 /// the address now.
-fn record_statement(core: &Core, endpoint: &Endpoint, response: &Response) {
+pub fn record_statement(core: &Core, endpoint: &Endpoint, response: &Response) {
     if response.status == 421 {
         return;
     }
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -37,6 +37,8 @@
     pub writer: Writer,
     /// The ids of the latest requests that were sent.
     pub ids: Ids,
+    /// Whether the other end is certainly the upstream rather than another one at its address.
+    pub identified: bool,
 }
 
 /// The ids of the latest requests that were sent on a connection. An upstream may send a response
@@ -134,7 +136,8 @@
         );
         return None;
     }
-    Some(Connection { reader, writer: Writer(Some(writer)), ids: Ids::default() })
+    let identified = endpoint.is_identified(core.clock.now());
+    Some(Connection { reader, writer: Writer(Some(writer)), ids: Ids::default(), identified })
 }
 
 /// Closes idle connections that can't be used again, until the process ends.
--- a/components/gateway/src/endpoint.rs
+++ b/components/gateway/src/endpoint.rs
@@ -41,6 +41,7 @@
     cold_until: Cell<Millis>,
     next_cold_request: Cell<Millis>,
     replaced: Cell<bool>,
+    identified_until: Cell<Millis>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -79,6 +80,7 @@
             cold_until: Cell::new(if cold_until > now { cold_until } else { Millis::ZERO }),
             next_cold_request: Cell::default(),
             replaced: Cell::default(),
+            identified_until: Cell::default(),
         }
     }
 
@@ -149,6 +151,16 @@
         true
     }
 
+    /// Records that the address belongs to the upstream until `until` at least.
+    pub fn record_identity(&self, until: Millis) {
+        self.identified_until.set(self.identified_until.get().max(until));
+    }
+
+    /// Whether the address certainly belongs to the upstream at `now`.
+    pub fn is_identified(&self, now: Millis) -> bool {
+        now < self.identified_until.get()
+    }
+
     /// Marks that the address belongs to another upstream now.
     pub fn mark_replaced(&self) {
         self.replaced.set(true);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -170,7 +170,7 @@
             progress.reason = choice.reason.as_str();
             let started = self.core.clock.now();
             let is_queued = endpoint.load(started) >= f64::from(endpoint.slots());
-            let outcome = attempt::run(self.core, &self.job, &endpoint).await;
+            let outcome = attempt::run(self.core, &self.job, self.service, &endpoint).await;
             let took = self.core.clock.now() - started;
             let assigned = choice.reason != Reason::OtherRegion;
             self.record(&endpoint, &outcome, (!is_queued).then_some(Sample { took, assigned }));
@@ -238,11 +238,14 @@
                 }
                 false
             }
-            Outcome::Failed(Cause::Misdirected) => {
+            Outcome::Failed(Cause::Misdirected | Cause::Replaced) => {
                 endpoint.mark_replaced();
                 false
             }
-            Outcome::Failed(Cause::Shed) => endpoint.load(now) < f64::from(endpoint.slots()),
+            // A full upstream rejects health checks like requests.
+            Outcome::Failed(Cause::Shed | Cause::Unidentified) => {
+                endpoint.load(now) < f64::from(endpoint.slots())
+            }
             Outcome::Failed(Cause::Deadline | Cause::UpstreamLeft | Cause::OutsideHomes) => false,
             Outcome::Response(_) | Outcome::Failed(_) | Outcome::TimedOut => true,
         };
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod forward;
 mod heartbeat;
+mod identity;
 mod inbound;
 mod lookup;
 mod outcome;
--- a/components/gateway/src/outcome.rs
+++ b/components/gateway/src/outcome.rs
@@ -26,6 +26,10 @@
     /// Before anything was sent, a configuration came into force that does not allow the upstream's
     /// region.
     OutsideHomes,
+    /// Before anything was sent, a check showed that the address belongs to another upstream now.
+    Replaced,
+    /// Before anything was sent, a check did not show whether the address belongs to the upstream.
+    Unidentified,
     /// The address belongs to another upstream now (status 421).
     Misdirected,
     /// The upstream shed the request, stating that it did not execute it.
@@ -63,9 +67,12 @@
     /// What the failure implies about the execution of the request.
     pub const fn execution(self) -> Execution {
         match self {
-            Cause::Connect | Cause::Deadline | Cause::UpstreamLeft | Cause::OutsideHomes => {
-                Execution::NotSent
-            }
+            Cause::Connect
+            | Cause::Deadline
+            | Cause::UpstreamLeft
+            | Cause::OutsideHomes
+            | Cause::Replaced
+            | Cause::Unidentified => Execution::NotSent,
             Cause::Misdirected | Cause::Shed => Execution::NotRun,
             Cause::Closed
             | Cause::Reset
@@ -85,6 +92,8 @@
             Cause::Deadline => "deadline",
             Cause::UpstreamLeft => "left",
             Cause::OutsideHomes => "outside the homes",
+            Cause::Replaced => "replaced",
+            Cause::Unidentified => "not identified",
             Cause::Misdirected => "another upstream",
             Cause::Shed => "shed",
             Cause::Closed => "closed",
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -24,6 +24,8 @@
     pub leaving: &'static str,
     /// Response header: how long the sender wants no requests, see [`Protocol::parse_pause`].
     pub retry_after: &'static str,
+    /// Response header of a health check: the id of the upstream.
+    pub instance: &'static str,
     /// Path of the readiness check.
     pub readiness_path: &'static str,
     /// Path of look-ups.
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -54,6 +54,8 @@
     pub renewal_interval: Millis,
     /// Time after which a leaving upstream must not get new requests.
     pub drain: Millis,
+    /// Time after the end of an upstream from which another one may have its address.
+    pub address_reuse: Millis,
     /// Time after which a new configuration or an evacuation must be in force.
     pub configuration: Millis,
     /// Time between the signal to stop and the forced end of the process.
--- a/components/gateway/tests/regions.rs
+++ b/components/gateway/tests/regions.rs
@@ -1,14 +1,20 @@
-//! Requests on routes that are restricted to regions: none may reach an upstream elsewhere.
+//! Requests on routes that are restricted to regions, their homes: none may reach an upstream
+//! elsewhere.
 
 mod world;
 
+use clock::Millis;
+use gateway::Settings;
 use std::rc::Rc;
 use std::sync::Arc;
 use steering::routing::{Effect, Route, Target};
-use world::caller::{Reply, get};
+use world::caller::{Reply, get, post};
 use world::upstream::{Behaviour, Standin};
 use world::{Vm, World, run_test, until};
 
+/// The time after which another upstream may have an address, in these tests.
+const ADDRESS_REUSE: Millis = Millis(300);
+
 async fn send(vm: &Vm, text: &str) -> Reply {
     vm.connect().await.request(text).await.unwrap()
 }
@@ -16,8 +22,24 @@
 /// Starts an upstream in each of the regions `r1` and `r2` and a gateway in `r1`.
 async fn two_regions(world: &World) -> (Rc<Standin>, Rc<Standin>, Vm) {
     let (near, far) = (world.upstream_in("u1", "d1").await, world.upstream_in("u2", "d2").await);
-    let vm = world.gateway_with("a", |settings| settings.bounds.retry_ratio = 10.0).await;
-    (near, far, vm)
+    (near, far, gateway(world).await)
+}
+
+async fn gateway(world: &World) -> Vm {
+    let change = |settings: &mut Settings| {
+        settings.bounds.retry_ratio = 10.0;
+        settings.bounds.address_reuse = ADDRESS_REUSE;
+    };
+    world.gateway_with("a", change).await
+}
+
+/// Ends an upstream and starts another one at its address, without an entry in the store.
+async fn replace(upstream: &Standin) -> Rc<Standin> {
+    upstream.crash().await;
+    let other = Standin::open("other", upstream.address).await;
+    other.script([Behaviour::Misdirected]);
+    tokio::time::sleep(ADDRESS_REUSE.duration()).await;
+    other
 }
 
 /// Declares the default routes, restricted to `regions`, and one of a service without upstreams.
@@ -70,3 +92,143 @@
     })
     .await;
 }
+
+/// Guards against requests that leave their homes by an address: an upstream ended, its address
+/// belongs to one of another service and region, and its entry is still in the store.
+#[tokio::test]
+async fn another_upstream_at_an_address_gets_no_request_with_homes() {
+    for is_used_before in [false, true] {
+        for text in [get("/read/1", "r"), post("/read/1", "r", "body"), post("/order/1", "o", "x")]
+        {
+            run_test(async |world| {
+                let gone = world.upstream("u1").await;
+                declare(&world, 1, &["r1"]);
+                let vm = gateway(&world).await;
+                vm.await_ready().await;
+                if is_used_before {
+                    assert_eq!(send(&vm, &get("/read/0", "q")).await.status, 200);
+                }
+                let other = replace(&gone).await;
+                let reply = send(&vm, &text).await;
+                assert_eq!((reply.status, other.received()), (503, Vec::new()));
+                // The next upstream of the service gets the request.
+                world.upstream("u2").await;
+                let text = text.replace("test-id: ", "test-id: 2");
+                until(async || send(&vm, &text).await.status == 200).await;
+                assert_eq!((other.received(), other.checks()), (Vec::new(), 1));
+            })
+            .await;
+        }
+    }
+}
+
+/// Guards against checks where they aren't needed: on routes without homes, on connections that are
+/// kept, and shortly after a response of the upstream on another connection.
+#[tokio::test]
+async fn an_upstream_that_has_just_responded_is_not_checked() {
+    run_test(async |world| {
+        let upstream = world.upstream("u1").await;
+        declare(&world, 1, &[]);
+        let vm = world.gateway("a").await;
+        vm.await_ready().await;
+        assert_eq!(send(&vm, &get("/read/1", "r")).await.status, 200);
+        assert_eq!(upstream.checks(), 0);
+        put_in_force(&world, &vm, 2, &["r1"]).await;
+        upstream.script([Behaviour::Slow(Millis(200)), Behaviour::Slow(Millis(200))]);
+        let (mut first, mut second) = (vm.connect().await, vm.connect().await);
+        first.send(&get("/read/2", "s")).await;
+        second.send(&get("/read/3", "t")).await;
+        let statuses =
+            [first.response().await, second.response().await].map(|reply| reply.unwrap().status);
+        assert_eq!((statuses, upstream.connections(), upstream.checks()), ([200; 2], 2, 0));
+    })
+    .await;
+}
+
+/// Guards against a check for each request: one names the upstream of a new connection, and a kept
+/// connection needs none, however long ago that was.
+#[tokio::test]
+async fn an_upstream_is_checked_once_for_a_connection() {
+    run_test(async |world| {
+        let upstream = world.upstream("u1").await;
+        declare(&world, 1, &["r1"]);
+        let vm = gateway(&world).await;
+        vm.await_ready().await;
+        for request in 0..3 {
+            let reply = send(&vm, &post("/order/1", &format!("o{request}"), "x")).await;
+            assert_eq!(reply.status, 200);
+            tokio::time::sleep(ADDRESS_REUSE.duration()).await;
+        }
+        assert_eq!((upstream.checks(), upstream.connections()), (1, 1));
+    })
+    .await;
+}
+
+/// Guards against requests to an upstream whose check names nobody, and against callers that wait
+/// for it beyond their deadline.
+#[tokio::test]
+async fn a_request_with_homes_goes_to_the_next_upstream_if_a_check_fails() {
+    for health in [None, Some(429)] {
+        run_test(async |world| {
+            let (a, b) = (world.upstream("u1").await, world.upstream("u2").await);
+            declare(&world, 1, &["r1"]);
+            let vm = gateway(&world).await;
+            vm.await_ready().await;
+            let first = send(&vm, &get("/read/0", "q")).await.text();
+            let (first, second) = if first.starts_with("u1") { (a, b) } else { (b, a) };
+            first.crash().await;
+            let unnamed = Standin::open(&first.id, first.address).await;
+            unnamed.set_health(health);
+            tokio::time::sleep(ADDRESS_REUSE.duration()).await;
+            let reply = send(&vm, &post("/order/1", "o", "x")).await;
+            assert_eq!((reply.status, reply.text()), (200, format!("{} /order/1", second.id)));
+            second.crash().await;
+            let reply = send(&vm, &post("/order/2", "p", "x")).await;
+            assert_eq!((reply.status, unnamed.received()), (503, Vec::new()));
+            assert_ne!(unnamed.checks(), 0);
+        })
+        .await;
+    }
+}
+
+/// Guards against requests that no upstream gets: one that is failing names itself as well.
+#[tokio::test]
+async fn a_check_with_another_status_names_the_upstream_too() {
+    run_test(async |world| {
+        let upstream = world.upstream("u1").await;
+        upstream.set_health(Some(503));
+        declare(&world, 1, &["r1"]);
+        let vm = gateway(&world).await;
+        vm.await_ready().await;
+        assert_eq!(send(&vm, &get("/read/1", "r")).await.status, 200);
+    })
+    .await;
+}
+
+/// Guards against requests that are sent by what was known when their upstream was chosen: the
+/// homes and the upstream's region change while its connection is opened.
+#[tokio::test]
+async fn a_change_before_a_request_is_sent_keeps_it_in_its_homes() {
+    for is_route in [true, false] {
+        run_test(async |world| {
+            let upstream = world.upstream("u1").await;
+            upstream.delay_health(Millis(400));
+            declare(&world, 1, &["r1", "r3"]);
+            let vm = gateway(&world).await;
+            vm.await_ready().await;
+            let mut caller = vm.connect().await;
+            caller.send(&post("/order/1", "o", "x")).await;
+            until(async || upstream.checks() == 1).await;
+            if is_route {
+                put_in_force(&world, &vm, 2, &["r3"]).await;
+            } else {
+                let mut settings = world::settings("a", vm.ip);
+                settings.regions.insert("d1".into(), "r2".into());
+                vm.gateway.reload(settings);
+            }
+            let reply = caller.response().await.unwrap();
+            assert_eq!((reply.status, upstream.received()), (503, Vec::new()));
+        })
+        .await;
+    }
+}
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -32,6 +32,7 @@
 
 pub const HOST: &str = "status.example";
 pub const SERVICE: &str = "status";
+pub const HEALTH_PATH: &str = "/health";
 
 /// A test that waits for a condition fails after this time; each takes a few seconds at most.
 const TEST_TIMEOUT: Millis = Millis(20_000);
@@ -237,7 +238,7 @@
     let routes = routes.map(|(prefix, effect)| Arc::new(route(prefix, effect)));
     let service = Service {
         name: SERVICE.into(),
-        health_path: "/health".into(),
+        health_path: HEALTH_PATH.into(),
         connections: 100,
         cold_span: Millis(500),
         cold_rate: 5.0,
@@ -271,6 +272,7 @@
         bounds: Bounds {
             renewal_interval: Millis(1_500),
             drain: Millis(2_000),
+            address_reuse: Millis(2_000),
             configuration: Millis(2_000),
             grace: Millis(6_000),
             settling: Millis(3_000),
--- a/components/gateway/tests/world/protocol.rs
+++ b/components/gateway/tests/world/protocol.rs
@@ -15,6 +15,7 @@
     not_run: "test-not-run",
     leaving: "test-leaving",
     retry_after: "test-retry-after",
+    instance: "test-instance",
     readiness_path: "/ready",
     lookup_path: "/lookup",
 };
--- a/components/gateway/tests/world/upstream.rs
+++ b/components/gateway/tests/world/upstream.rs
@@ -85,6 +85,11 @@
     flooded: std::cell::Cell<u64>,
     /// What it sends as soon as a connection is opened.
     greeting: RefCell<Vec<u8>>,
+    /// The status of its health check; no response if `None`.
+    health: std::cell::Cell<Option<u16>>,
+    /// How long the check takes.
+    health_delay: std::cell::Cell<Millis>,
+    checks: std::cell::Cell<usize>,
     /// The tasks that accept and serve connections.
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
@@ -105,6 +110,9 @@
             flooding: std::cell::Cell::default(),
             flooded: std::cell::Cell::default(),
             greeting: RefCell::default(),
+            health: std::cell::Cell::new(Some(200)),
+            health_delay: std::cell::Cell::default(),
+            checks: std::cell::Cell::default(),
             tasks: RefCell::default(),
         });
         let shared = Rc::clone(&standin);
@@ -137,6 +145,21 @@
         }
     }
 
+    /// Sets the status of its health check, or that it gives none.
+    pub fn set_health(&self, status: Option<u16>) {
+        self.health.set(status);
+    }
+
+    /// Sets how long its health check takes.
+    pub fn delay_health(&self, span: Millis) {
+        self.health_delay.set(span);
+    }
+
+    /// The number of health checks that reached it.
+    pub fn checks(&self) -> usize {
+        self.checks.get()
+    }
+
     /// The paths of all requests that reached it, also of those that it did not execute.
     pub fn received(&self) -> Vec<String> {
         self.received.borrow().clone()
@@ -198,6 +221,12 @@
             let Ok(body) = reader.body(10_000_000).await else {
                 return;
             };
+            if head.path() == super::HEALTH_PATH {
+                if !self.respond_to_check(&mut reader).await {
+                    return;
+                }
+                continue;
+            }
             self.received.borrow_mut().push(head.path().to_owned());
             let behaviour = {
                 let mut script = self.script.borrow_mut();
@@ -214,6 +243,22 @@
         }
     }
 
+    /// Responds to a health check; returns whether the connection stays open.
+    async fn respond_to_check(&self, reader: &mut Reader<TcpStream>) -> bool {
+        self.checks.set(self.checks.get() + 1);
+        tokio::time::sleep(self.health_delay.get().duration()).await;
+        let id = &self.id;
+        match self.health.get() {
+            None => reader.wait().await.is_ok(),
+            // A full upstream rejects the check like any other request, without its name.
+            Some(429) => write(reader, &refusal("")).await,
+            Some(status) => {
+                let head = format!("HTTP/1.1 {status} X\r\ntest-instance: {id}\r\n");
+                write(reader, format!("{head}Content-Length: 2\r\n\r\nok").as_bytes()).await
+            }
+        }
+    }
+
     /// Performs `behaviour`; returns whether the connection stays open.
     async fn perform(
         &self,
