Take no failure domain for a region

An upstream in a failure domain that the settings don't list belonged to a region called like the failure domain. If a route's home has that name, its requests went there. Such an upstream has no region now: it gets requests of routes without homes only, and a log line says which failure domain is missing.

gateway/tests/regions, an_upstream_in_an_unknown_failure_domain_gets_no_request_with_homes, before the change: left: 200, right: 503. The other new test passed before as well: entries that name another failure domain, with and without another start, and settings with other regions hold at once, on kept connections too.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -87,7 +87,7 @@
         keep(core, endpoint, connection, None);
         return Outcome::Failed(Cause::UpstreamLeft);
     }
-    if !job.homes(core).allows(&endpoint.region) {
+    if !job.homes(core).allows(endpoint.region.as_deref()) {
         keep(core, endpoint, connection, None);
         return Outcome::Failed(Cause::OutsideHomes);
     }
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -111,8 +111,10 @@
             return Some(connection);
         }
     }
-    let latency =
-        core.upstreams.borrow().network_latency(&core.settings().region, &endpoint.region);
+    let latency = core
+        .upstreams
+        .borrow()
+        .network_latency(&core.settings().region, endpoint.region.as_deref());
     let connect = (CONNECT_TIMEOUT + latency).min(deadline - started);
     let timeouts = Timeouts { connect, silence: SILENCE_TIMEOUT };
     let stream = net::connect(endpoint.entry.address, timeouts).await;
@@ -126,7 +128,9 @@
             )
         })
         .ok()?;
-    core.upstreams.borrow_mut().record_connect(&endpoint.region, core.clock.now() - started);
+    if let Some(region) = &endpoint.region {
+        core.upstreams.borrow_mut().record_connect(region, core.clock.now() - started);
+    }
     let (read, writer) = stream.into_split();
     let mut reader = Reader::new(read);
     if !reader.is_reusable().await {
--- a/components/gateway/src/endpoint.rs
+++ b/components/gateway/src/endpoint.rs
@@ -24,8 +24,8 @@
 pub struct Endpoint {
     /// The upstream's entry in the store.
     pub entry: Arc<Upstream>,
-    /// The upstream's region.
-    pub region: Arc<str>,
+    /// The upstream's region; `None` if the settings do not list its failure domain.
+    pub region: Option<Arc<str>>,
     /// Idle connections.
     pub pool: RefCell<Pool>,
     /// What the upstream has stated in its responses.
@@ -60,7 +60,7 @@
     /// An endpoint without observations.
     pub fn new(
         entry: Arc<Upstream>,
-        region: Arc<str>,
+        region: Option<Arc<str>>,
         statement: Rc<Statement>,
         now: Millis,
     ) -> Endpoint {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -166,7 +166,7 @@
                 Err(retry_after) => return self.give_up("full", Some(retry_after), progress),
             };
             progress.upstream = Arc::clone(&endpoint.entry.id);
-            progress.upstream_region = Arc::clone(&endpoint.region);
+            progress.upstream_region = endpoint.region.clone().unwrap_or_default();
             progress.reason = choice.reason.as_str();
             let started = self.core.clock.now();
             let is_queued = endpoint.load(started) >= f64::from(endpoint.slots());
@@ -232,8 +232,8 @@
                 endpoint.record_success();
                 if let Some(Sample { took, assigned }) = sample {
                     let mut upstreams = self.core.upstreams.borrow_mut();
-                    let latency =
-                        upstreams.network_latency(&self.core.settings().region, &endpoint.region);
+                    let latency = upstreams
+                        .network_latency(&self.core.settings().region, endpoint.region.as_deref());
                     upstreams.record_service_time(&self.route.name, took - latency, assigned);
                 }
                 false
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -64,7 +64,9 @@
         endpoint.is_ejected(now) || (endpoint.is_half_open() && endpoint.in_flight() > 0)
     };
     let is_available = |region: &str| {
-        endpoints.iter().any(|endpoint| *endpoint.region == *region && !is_ejected(endpoint))
+        endpoints
+            .iter()
+            .any(|endpoint| endpoint.region.as_deref() == Some(region) && !is_ejected(endpoint))
     };
     let region = upstreams.assigned_region(&demand.service.name, object, is_available, now);
     let region = region.unwrap_or_else(|| Arc::clone(&settings.region));
@@ -75,8 +77,9 @@
             slots: endpoint.slots(),
             load: endpoint.load(now),
             slowdown: endpoint.slowdown(now),
-            network_latency: upstreams.network_latency(&settings.region, &endpoint.region),
-            assigned: endpoint.region == region,
+            network_latency: upstreams
+                .network_latency(&settings.region, endpoint.region.as_deref()),
+            assigned: endpoint.region.as_deref() == Some(region.as_ref()),
             ejected: is_ejected(endpoint),
         })
         .collect();
@@ -141,7 +144,9 @@
 
 /// Whether an upstream may get requests with these homes at some time.
 fn is_usable(homes: &Homes, endpoint: &Endpoint) -> bool {
-    homes.allows(&endpoint.region) && !endpoint.is_replaced() && !endpoint.statement.is_leaving()
+    homes.allows(endpoint.region.as_deref())
+        && !endpoint.is_replaced()
+        && !endpoint.statement.is_leaving()
 }
 
 /// Time until an upstream in `homes` takes requests again, if none of them wants any now.
--- a/components/gateway/src/reporting.rs
+++ b/components/gateway/src/reporting.rs
@@ -23,7 +23,7 @@
     pub regions: &'a str,
     /// Id of the last upstream chosen, or empty.
     pub upstream: &'a str,
-    /// Its region.
+    /// Its region, or empty if it is unknown.
     pub upstream_region: &'a str,
     /// Why that upstream was chosen, or the last failure.
     pub reason: &'a str,
@@ -95,7 +95,7 @@
     let address = endpoint.entry.address.to_string();
     log::info!(
         target: "attempt", request = request, upstream = endpoint.entry.id.as_ref(),
-        region = endpoint.region.as_ref(), address = address.as_str(), connection = connection;
+        region = endpoint.region.as_deref().unwrap_or_default(), address = address.as_str(), connection = connection;
         "another upstream answers at the address; sending no more requests there"
     );
 }
--- a/components/gateway/src/upstreams.rs
+++ b/components/gateway/src/upstreams.rs
@@ -71,7 +71,7 @@
         let mut before = std::mem::take(&mut self.by_id);
         self.by_service.clear();
         for entry in catalogue.upstreams() {
-            let region = Arc::clone(self.regions.get(&entry.domain).unwrap_or(&entry.domain));
+            let region = self.regions.get(&entry.domain).cloned();
             let known = before.remove(&entry.id).filter(|endpoint| {
                 endpoint.entry.incarnation == entry.incarnation
                     && endpoint.entry.address == entry.address
@@ -80,6 +80,14 @@
             });
             let statement = self.statements.of(entry, now);
             let endpoint = known.unwrap_or_else(|| {
+                if region.is_none() {
+                    log::warn!(
+                        target: "belief", upstream = entry.id.as_ref(),
+                        domain = entry.domain.as_ref();
+                        "the settings don't list the upstream's failure domain; sending it no \
+                         requests on routes that are restricted to regions"
+                    );
+                }
                 Rc::new(Endpoint::new(Arc::clone(entry), region, statement, now))
             });
             endpoint.apply_entry(entry, now);
@@ -103,7 +111,8 @@
         }
         for (service, endpoints) in &self.by_service {
             let slots = |name: &Arc<str>| {
-                let local = endpoints.iter().filter(|endpoint| endpoint.region == *name);
+                let local =
+                    endpoints.iter().filter(|endpoint| endpoint.region.as_ref() == Some(name));
                 local.map(|endpoint| f64::from(endpoint.slots())).sum()
             };
             let regions: Vec<Region> = demand
@@ -157,11 +166,12 @@
     }
 
     /// The network latency that a response from `region` adds for a VM in `own`.
-    pub fn network_latency(&self, own: &str, region: &str) -> Millis {
-        if own == region {
+    pub fn network_latency(&self, own: &str, region: Option<&str>) -> Millis {
+        if region == Some(own) {
             return Millis::ZERO;
         }
-        self.round_trip_ms.get(region).map_or(DEFAULT_NETWORK_LATENCY, |mean| Millis(*mean as u64))
+        let mean = region.and_then(|region| self.round_trip_ms.get(region));
+        mean.map_or(DEFAULT_NETWORK_LATENCY, |mean| Millis(*mean as u64))
     }
 
     /// Records the service time of a request that was not queued at the upstream; `assigned` is
--- a/components/gateway/tests/regions.rs
+++ b/components/gateway/tests/regions.rs
@@ -7,7 +7,7 @@
 use gateway::Settings;
 use std::rc::Rc;
 use std::sync::Arc;
-use steering::routing::{Effect, Route, Target};
+use steering::routing::{Effect, Readiness, Route, Target, Upstream};
 use world::caller::{Reply, get, post};
 use world::upstream::{Behaviour, Standin};
 use world::{Vm, World, run_test, until};
@@ -232,3 +232,54 @@
         .await;
     }
 }
+
+/// Guards against a failure domain that is taken for a region: the settings don't list it, and it is
+/// called like a home.
+#[tokio::test]
+async fn an_upstream_in_an_unknown_failure_domain_gets_no_request_with_homes() {
+    run_test(async |world| {
+        let upstream = world.upstream_in("u1", "r2").await;
+        declare(&world, 1, &["r2"]);
+        let vm = gateway(&world).await;
+        vm.await_ready().await;
+        assert_eq!(send(&vm, &get("/read/1", "r")).await.status, 503);
+        assert_eq!((upstream.received(), upstream.checks()), (Vec::new(), 0));
+        // Without homes, where it runs doesn't matter.
+        put_in_force(&world, &vm, 2, &[]).await;
+        assert_eq!(send(&vm, &get("/read/2", "s")).await.status, 200);
+    })
+    .await;
+}
+
+/// Guards against requests by where an upstream was, on kept connections too: its entry names
+/// another failure domain, with and without another start, or the settings another region.
+#[tokio::test]
+async fn an_upstream_that_is_elsewhere_now_gets_no_request_with_homes() {
+    for change in 0..3 {
+        run_test(async |world| {
+            let upstream = world.upstream_in("u1", "d1").await;
+            declare(&world, 1, &["r1"]);
+            let vm = gateway(&world).await;
+            vm.await_ready().await;
+            assert_eq!(send(&vm, &get("/read/1", "r")).await.status, 200);
+            let entry = world::entry("u1", upstream.address, Readiness::Ready);
+            let moved = Upstream { domain: "d2".into(), ..entry };
+            match change {
+                0 => world.store.put_upstream(moved),
+                1 => world.store.put_upstream(Upstream { incarnation: 2, ..moved }),
+                _ => {
+                    let mut settings = world::settings("a", vm.ip);
+                    settings.regions.insert("d1".into(), "r2".into());
+                    vm.gateway.reload(settings);
+                }
+            }
+            until(async || send(&vm, &get("/read/2", "s")).await.status == 503).await;
+            let before = upstream.received();
+            assert_eq!(send(&vm, &post("/order/1", "o", "x")).await.status, 503);
+            assert_eq!(upstream.received(), before);
+            put_in_force(&world, &vm, 2, &["r2"]).await;
+            assert_eq!(send(&vm, &post("/order/2", "p", "x")).await.status, 200);
+        })
+        .await;
+    }
+}
--- a/components/steering/src/routing/homes.rs
+++ b/components/steering/src/routing/homes.rs
@@ -23,8 +23,9 @@
         !self.routes.is_empty()
     }
 
-    /// Whether `region` may get the request.
-    pub fn allows(&self, region: &str) -> bool {
-        self.routes.iter().all(|route| route.regions.iter().any(|home| **home == *region))
+    /// Whether an upstream in `region` may get the request; `None` is an unknown region.
+    pub fn allows(&self, region: Option<&str>) -> bool {
+        let is_home = |home: &Arc<str>| region == Some(home);
+        self.routes.iter().all(|route| route.regions.iter().any(is_home))
     }
 }
