Keep transfers of changes that make progress

What callers saw: requests handled as an older configuration says, with other homes.

Cause: a poll had 500 ms in all, 1,000 ms after a failure, and a request to a peer 800 ms, also while the response arrived. What had been received by then was thrown away and the transfer began anew, on links of 10 Mbit/s that carry callers' traffic as well.

Change: the time-outs hold until the response begins and without a byte of it; a transfer that makes progress may take as long as the bound, and four times as long after a failed poll.

--- a/components/gateway/src/changes.rs
+++ b/components/gateway/src/changes.rs
@@ -8,7 +8,7 @@
 use clock::Millis;
 use errors::Kind;
 use http1::net::Timeouts;
-use http1::{Call, Client, Headers, Request};
+use http1::{Call, Client, Headers, Limits, Request};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,8 +18,10 @@
 /// How long a reader waits, once its next poll is due, for the store to send a change that a peer
 /// already has.
 const STORE_READ_DELAY: Millis = Millis(300);
-/// Time for a complete request to a peer.
-const REQUEST_TIMEOUT: Millis = Millis(800);
+/// Time until a peer responds.
+const RESPONSE_TIMEOUT: Millis = Millis(800);
+/// Time without a byte of a peer's response.
+const SILENCE_TIMEOUT: Millis = Millis(500);
 /// The timeouts are short, as there are other peers to ask.
 const CONNECTION_TIMEOUTS: Timeouts = Timeouts { connect: Millis(300), silence: Millis(1_500) };
 const MAX_BODY_BYTES: u64 = 8 * 1024 * 1024;
@@ -114,7 +116,11 @@
         target: &target,
         body: b"",
         media_type: "",
-        timeout: REQUEST_TIMEOUT,
+        limits: Limits {
+            response: RESPONSE_TIMEOUT,
+            silence: SILENCE_TIMEOUT,
+            total: RESPONSE_TIMEOUT + core.staleness_limits(newer.feed).transfer,
+        },
     };
     let started = core.clock.now();
     match client.call(&call).await {
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -15,11 +15,14 @@
 const POLL_JITTER_DIVISOR: u64 = 4;
 /// How long the poll of a VM with an old copy waits: it needs the state of this moment.
 const REFRESH_WAIT: Millis = Millis(1);
-/// Time for the response to a poll. A silent connection must be replaced soon enough to keep the
-/// drain bound.
+/// Time until a poll is responded to, and without a byte of the response. A silent connection must
+/// be replaced soon enough to keep the drain bound.
 const RESPONSE_TIMEOUT: Millis = Millis(500);
 /// Time for the response after a failure, as the store may be slow.
 const RESPONSE_TIMEOUT_AFTER_FAILURE: Millis = Millis(1_000);
+/// How much longer than otherwise a transfer may take after a failure: one that is cut off must not
+/// begin anew again and again.
+const TRANSFER_FACTOR_AFTER_FAILURE: u64 = 4;
 /// How often a VM that relies on its peers checks whether it became a reader.
 const ROLE_CHECK_INTERVAL: Millis = Millis(500);
 /// How long a poll waits after a failed one: a poll that was sent during an outage gets no
@@ -131,7 +134,9 @@
         }
         (false, Role::Refresher | Role::Follower) => (REFRESH_WAIT, RESPONSE_TIMEOUT),
     };
-    Poll { after, wait, timeout }
+    let transfer = core.staleness_limits(feed).transfer;
+    let factor = if failing { TRANSFER_FACTOR_AFTER_FAILURE } else { 1 };
+    Poll { after, wait, timeout, transfer: Millis(transfer.0 * factor) }
 }
 
 /// The delay after a response with changes of `feed`, or with an older state.
--- a/components/gateway/src/source.rs
+++ b/components/gateway/src/source.rs
@@ -19,8 +19,10 @@
     pub after: u64,
     /// How long the store waits for changes if there are none.
     pub wait: Millis,
-    /// The time for the response in addition to `wait`.
+    /// The time until the response begins in addition to `wait`, and without a byte of it then.
     pub timeout: Millis,
+    /// The time for the body of the response, in addition.
+    pub transfer: Millis,
 }
 
 /// The store that holds configuration, evacuations and upstreams.
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -232,7 +232,7 @@
     }
 }
 
-fn configuration(version: u64) -> Configuration {
+pub fn configuration(version: u64) -> Configuration {
     let routes =
         [("/read/", Effect::Idempotent), ("/order/", Effect::Order), ("/load/", Effect::Download)];
     let routes = routes.map(|(prefix, effect)| Arc::new(route(prefix, effect)));
--- a/components/gateway/tests/world/probe.rs
+++ b/components/gateway/tests/world/probe.rs
@@ -39,6 +39,11 @@
         Probe { socket: UdpSocket::bind(address).await.unwrap(), member }
     }
 
+    /// Where the probe gets heartbeats, and is asked for changes.
+    pub fn address(&self) -> SocketAddr {
+        self.member.changes
+    }
+
     /// Claims to know all changes up to `revision` of both feeds, as the store confirmed just now.
     /// The heartbeat doesn't say when it was made.
     pub async fn claim_up_to_date(&mut self, vm: SocketAddr, revision: u64) {
--- a/components/gateway/tests/world/store.rs
+++ b/components/gateway/tests/world/store.rs
@@ -27,6 +27,8 @@
     cut_off: RefCell<HashSet<Arc<str>>>,
     /// VMs whose responses are delayed, and by how much.
     delays: RefCell<HashMap<Arc<str>, Millis>>,
+    /// VMs that responses with changes take this long to reach, with steady progress.
+    transfers: RefCell<HashMap<Arc<str>, Millis>>,
     /// The number of responses that were delayed.
     delayed: Cell<usize>,
     /// VMs that get the state up to a revision only.
@@ -81,11 +83,21 @@
         self.delays.borrow_mut().insert(vm.into(), span);
     }
 
+    /// Makes each transfer of changes to `vm` take `span`, with steady progress.
+    pub fn slow_transfers(&self, vm: &str, span: Millis) {
+        self.transfers.borrow_mut().insert(vm.into(), span);
+    }
+
     /// Responds to `vm` with the state of this moment from now on.
     pub fn serve_outdated(&self, vm: &str) {
         self.outdated.borrow_mut().insert(vm.into(), self.revision.get());
     }
 
+    /// The revision of the newest change.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
     pub fn delayed(&self) -> usize {
         self.delayed.get()
     }
@@ -147,6 +159,16 @@
         }
     }
 
+    /// Waits for the end of a transfer, or for the time that it may take.
+    async fn transfer(&self, limit: Millis) -> Result<(), Error> {
+        let span = self.store.transfers.borrow().get(&self.vm).copied().unwrap_or_default();
+        tokio::time::sleep(span.min(limit).duration()).await;
+        match span <= limit {
+            true => Ok(()),
+            false => Err(Error::new(Kind::PlatformDown, "cut off within the response")),
+        }
+    }
+
     fn check_access(&self) -> Result<(), Error> {
         self.store.calls.set(self.store.calls.get() + 1);
         self.store.callers.borrow_mut().insert(Arc::clone(&self.vm));
@@ -170,7 +192,7 @@
     }
 
     async fn follow(&mut self, feed: Feed, poll: Poll) -> Result<Update, Error> {
-        let Poll { after, wait, .. } = poll;
+        let Poll { after, wait, timeout, transfer } = poll;
         self.store.waits.borrow_mut().push((feed, wait));
         self.check_access()?;
         let called = std::time::Instant::now();
@@ -185,6 +207,9 @@
             let changes = self.store.changes(feed, after, revision);
             if !changes.is_empty() || called.elapsed() >= wait.duration() {
                 self.delay().await;
+                if !changes.is_empty() {
+                    self.transfer(timeout + transfer).await?;
+                }
                 return Ok(Update::Changes(Batch { feed, full: false, revision, changes }));
             }
             tokio::time::sleep(CHECK_INTERVAL.duration()).await;
--- a/components/http1/src/client.rs
+++ b/components/http1/src/client.rs
@@ -32,8 +32,20 @@
     pub body: &'a [u8],
     /// The media type of the body.
     pub media_type: &'a str,
-    /// The time for the whole call.
-    pub timeout: Millis,
+    /// The time that the call may take.
+    pub limits: Limits,
+}
+
+/// The time that a call may take. A transfer that makes progress is given longer than a server that
+/// doesn't respond, as the same transfer on another connection would begin anew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Until the head of the response is received.
+    pub response: Millis,
+    /// Without a byte of the response's body.
+    pub silence: Millis,
+    /// For the whole call.
+    pub total: Millis,
 }
 
 /// Why a call has no response.
@@ -57,7 +69,7 @@
         /// Time since the call was made.
         took: Millis,
     },
-    /// The call timed out within the body of the response.
+    /// The call timed out, or the server fell silent, within the body of the response.
     #[snafu(display("response incomplete after {took}: {received} bytes of its body received"))]
     Incomplete {
         /// Time since the call was made.
@@ -80,15 +92,26 @@
     /// Every [`Failure`].
     pub async fn call(&mut self, call: &Call<'_>) -> Result<(Response, Bytes), Failure> {
         let started = Instant::now();
-        let deadline = started + call.timeout.duration();
+        let deadline = started + call.limits.total.duration();
+        let response_deadline = deadline.min(started + call.limits.response.duration());
         let idle = self.connection.take();
-        let (response, mut connection) = timeout_at(deadline, self.begin(idle, call))
+        let (response, mut connection) = timeout_at(response_deadline, self.begin(idle, call))
             .await
             .map_err(|_| Failure::Unanswered { took: since(started) })??;
         let mut body = BytesMut::new();
-        timeout_at(deadline, receive(&mut connection, self.body_limit, &mut body))
-            .await
-            .map_err(|_| Failure::Incomplete { took: since(started), received: body.len() })??;
+        loop {
+            let silent_at = deadline.min(Instant::now() + call.limits.silence.duration());
+            let piece = timeout_at(silent_at, connection.data())
+                .await
+                .map_err(|_| Failure::Incomplete { took: since(started), received: body.len() })?;
+            let Some(piece) = piece.map_err(no_response)? else {
+                break;
+            };
+            body.extend_from_slice(&piece);
+            if body.len() as u64 > self.body_limit {
+                return Err(no_response(Error::BodyTooLarge { limit: self.body_limit }));
+            }
+        }
         self.connection = response.keep_alive.then_some(connection);
         Ok((response, body.freeze()))
     }
@@ -131,21 +154,6 @@
     }
 }
 
-/// Appends the body of the response to `body`.
-async fn receive(
-    connection: &mut Reader<TcpStream>,
-    limit: u64,
-    body: &mut BytesMut,
-) -> Result<(), Failure> {
-    while let Some(piece) = connection.data().await.map_err(no_response)? {
-        body.extend_from_slice(&piece);
-        if body.len() as u64 > limit {
-            return Err(no_response(Error::BodyTooLarge { limit }));
-        }
-    }
-    Ok(())
-}
-
 fn no_response(source: Error) -> Failure {
     Failure::NoResponse { source }
 }
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod net;
 mod reader;
 
-pub use client::{Call, Client, Failure};
+pub use client::{Call, Client, Failure, Limits};
 pub use error::Error;
 pub use framing::Framing;
 pub use head::{Request, Response};
--- a/components/http1/tests/client.rs
+++ b/components/http1/tests/client.rs
@@ -2,7 +2,7 @@
 
 use clock::Millis;
 use http1::net::Timeouts;
-use http1::{Call, Client, Failure};
+use http1::{Call, Client, Failure, Limits};
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -27,9 +27,11 @@
     address
 }
 
+const LIMITS: Limits = Limits { response: Millis(400), silence: Millis(400), total: Millis(1_500) };
+
 async fn call(address: SocketAddr) -> Result<String, Failure> {
     let mut client = Client::new(address, TIMEOUTS, BODY_LIMIT);
-    let call = Call { method: "GET", target: "/", body: b"", media_type: "", timeout: Millis(400) };
+    let call = Call { method: "GET", target: "/", body: b"", media_type: "", limits: LIMITS };
     let (_, body) = client.call(&call).await?;
     Ok(String::from_utf8(body.to_vec()).unwrap())
 }
@@ -49,3 +51,24 @@
         "{incomplete:?}"
     );
 }
+
+/// Guards against a transfer that begins anew again and again, since it takes longer than a server
+/// may take to respond.
+#[tokio::test]
+async fn a_slow_response_that_makes_progress_is_received() {
+    let mut parts = vec![(Millis::ZERO, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")];
+    parts.extend([(Millis(100), "x"); 10]);
+    assert_eq!(call(server(parts).await).await.unwrap(), "xxxxxxxxxx");
+}
+
+/// Guards against a call without end to a server that sends a byte now and then.
+#[tokio::test]
+async fn a_response_that_makes_too_little_progress_is_given_up() {
+    let mut parts = vec![(Millis::ZERO, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n")];
+    parts.extend([(Millis(100), "x"); 100]);
+    let result = call(server(parts).await).await;
+    assert!(
+        matches!(result, Err(Failure::Incomplete { took, .. }) if took >= LIMITS.total),
+        "{result:?}"
+    );
+}
--- a/components/steering/src/staleness.rs
+++ b/components/steering/src/staleness.rs
@@ -20,12 +20,19 @@
     pub ask: Millis,
     /// From this age on, the VM reads from the store.
     pub read: Millis,
+    /// The longest time for a transfer of changes that makes progress. One that takes longer is
+    /// late, and may be faster on another connection.
+    pub transfer: Millis,
 }
 
 impl Limits {
     /// The limits that keep changes in force within `bound`.
     pub fn new(bound: Millis) -> Limits {
-        Limits { ask: Millis(bound.0 / ASK_DIVISOR), read: Millis(bound.0 / READ_DIVISOR) }
+        Limits {
+            ask: Millis(bound.0 / ASK_DIVISOR),
+            read: Millis(bound.0 / READ_DIVISOR),
+            transfer: bound,
+        }
     }
 }
 
--- a/components/steering/tests/readers.rs
+++ b/components/steering/tests/readers.rs
@@ -4,7 +4,7 @@
 use steering::readers::{Role, poll_wait, role, select};
 use steering::staleness::Limits;
 
-const LIMITS: Limits = Limits { ask: Millis(1_000), read: Millis(2_000) };
+const LIMITS: Limits = Limits { ask: Millis(1_000), read: Millis(2_000), transfer: Millis(4_000) };
 
 /// The VMs of a region that read from the store if their copies have the given age.
 fn reading(names: &[String], fleet: usize, age: Option<Millis>) -> Vec<&str> {
