Let odd entries of other writers cost only themselves

What others saw: one odd entry among those of the servers (deeply nested, a number too large, a port out of range) ended the machines that read the list, or kept them from following it.

Cause: the store's response was decoded as one value, so that a row whose value, version, mark of removal or key was not of its type failed the listing and each poll behind it, for as long as the row stayed; the VM went on with what it knew, and one that starts was never ready. Values of the right type were taken as they were: port 0, addresses that can't be connected to, 2^32-1 slots, a cold time without end, ids with line ends, which went into the header field that names the upstream. An evacuation whose value wasn't base64 was lifted. The reason that is logged and passed on to peers quoted the value, 48 KB of it. Sums overflowed: the incarnation that follows a peer's (which ended the task that receives heartbeats), the weights of a split, the load that an upstream reports. Changes of a peer, or a response, at revision 2^64-1 make the VM refuse all that comes later (by reading: every later listing is older).

Nesting of 100,000 levels in a value that is proper base64, numbers such as 1e400 and ports over 65535 did no harm before: serde_json limits its recursion and skips unknown fields without any. No allocation or loop grows with slots.

What can't be connected to is refused in steering (Upstream::defect), and so holds for rows from peers of earlier versions too. An upstream whose entry becomes odd is out at once, also when it has lapsed; docs/DATAPATH.md, "Odd entries", says why. Evacuated domains are collected once for all upstreams.

--- a/components/gateway/src/changes.rs
+++ b/components/gateway/src/changes.rs
@@ -151,7 +151,13 @@
 
 fn apply(core: &Core, body: &Bytes, peer: Arc<str>) {
     match rmp_serde::from_slice::<Batch>(body) {
-        Ok(batch) => core.apply(batch, &Origin::Peer(peer)),
+        Ok(batch) if batch.has_valid_revisions() => core.apply(batch, &Origin::Peer(peer)),
+        Ok(batch) => {
+            log::warn!(
+                target: "changes", peer = peer.as_ref(), revision = batch.revision;
+                "ignoring changes of a peer with impossible revisions"
+            );
+        }
         Err(error) => {
             log::warn!(
                 target: "changes", peer = peer.as_ref(), cause:% = error;
--- a/components/gateway/src/endpoint.rs
+++ b/components/gateway/src/endpoint.rs
@@ -129,7 +129,7 @@
     /// Stores the load reported with a response.
     pub fn record_load(&self, load: Load, now: Millis) {
         let own = f64::from(self.in_flight.get().saturating_sub(1));
-        let others = (f64::from(load.running + load.waiting) - own).max(0.0);
+        let others = (f64::from(load.running) + f64::from(load.waiting) - own).max(0.0);
         self.report.set(Some(LoadReport { at: now, others, slowdown: load.slowdown }));
     }
 
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use steering::catalogue::Feed;
+use steering::catalogue::{Feed, MAX_REVISION};
 use steering::echo::{Echo, Stamp};
 use steering::membership::{Member, Summary};
 use steering::pressure::Pressure;
@@ -314,6 +314,13 @@
             complete_after: extension.complete_after[feed as usize],
             age: heartbeat.ages[feed as usize].map(Millis),
         };
+        if claim.newest > MAX_REVISION {
+            log::debug!(
+                target: "heartbeat", peer = peer.as_ref(), revision = claim.newest;
+                "ignoring an impossible revision in a heartbeat"
+            );
+            continue;
+        }
         let revision = {
             let catalogue = core.catalogue.borrow();
             catalogue.is_listed(feed).then(|| catalogue.revision(feed))
@@ -347,7 +354,7 @@
             target: "belief", known = member.incarnation, own = own.incarnation;
             "peers know a later start of this VM; taking a newer incarnation"
         );
-        own.incarnation = member.incarnation + 1;
+        own.incarnation = member.incarnation.saturating_add(1);
     }
 }
 
--- a/components/gateway/src/reporting.rs
+++ b/components/gateway/src/reporting.rs
@@ -8,6 +8,9 @@
 use steering::catalogue::{Batch, Event};
 use telemetry::{Admission, names};
 
+/// Malformed entries of one batch that get a line of their own.
+const MAX_MALFORMED_LINES: usize = 10;
+
 /// The log record of a completed request.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestRecord<'a> {
@@ -117,6 +120,8 @@
 
 /// Logs changes to configuration, evacuations and upstreams; `from` is their source.
 pub fn catalogue_events(events: &[Event], from: &str) {
+    let malformed = events.iter().filter(|event| matches!(event, Event::Unreadable { .. })).count();
+    let mut malformed_lines = 0;
     for event in events {
         match event {
             Event::Configured { version, routes, regions_changed } => {
@@ -161,10 +166,24 @@
                 target: "belief", upstream = id.as_ref(), until_ms = until.0, from = from;
                 "upstream's entry vanished around a store outage; keeping it until it expires"
             ),
-            Event::Unreadable { key, reason } => log::warn!(
-                target: "belief", key = key.as_ref(), reason = reason.as_ref(), from = from;
-                "malformed entry in the store; not using it"
-            ),
+            Event::Unreadable { .. } if malformed_lines == MAX_MALFORMED_LINES => {}
+            Event::Unreadable { key, reason, was_used } => {
+                malformed_lines += 1;
+                let text = match was_used {
+                    true => "upstream's entry became malformed; sending no more requests to it",
+                    false => "malformed entry in the store; not using it",
+                };
+                log::warn!(
+                    target: "belief", key = key.as_ref(), reason = reason.as_ref(), from = from;
+                    "{text}"
+                );
+            }
         }
     }
+    if malformed > malformed_lines {
+        log::warn!(
+            target: "belief", count = malformed - malformed_lines, from = from;
+            "more malformed entries in the store; not using them"
+        );
+    }
 }
--- a/components/gateway/src/upstreams.rs
+++ b/components/gateway/src/upstreams.rs
@@ -99,6 +99,9 @@
             self.by_service.entry(Arc::clone(&entry.service)).or_default().push(endpoint);
         }
         self.statements.expire(now);
+        let is_known = |service: &Arc<str>| table.service(service).is_some();
+        let by_service = &self.by_service;
+        self.shares.retain(|service, _| by_service.contains_key(service) || is_known(service));
         self.assign_regions(now);
     }
 
--- a/components/gateway/tests/world/probe.rs
+++ b/components/gateway/tests/world/probe.rs
@@ -8,9 +8,9 @@
 use tokio::net::UdpSocket;
 
 /// A heartbeat as it is sent: members, summaries, newest revisions, ages, the store's uptime.
-type Heartbeat = (Vec<Member>, Vec<Summary>, [u64; 2], [Option<u64>; 2], Option<(u64, u64)>);
+pub type Heartbeat = (Vec<Member>, Vec<Summary>, [u64; 2], [Option<u64>; 2], Option<(u64, u64)>);
 /// Its extension: the revisions after which the sender knows all changes, whether it asks.
-type Extension = ([u64; 2], bool);
+pub type Extension = ([u64; 2], bool);
 
 /// How long the probe waits for the answer to a question.
 const ANSWER_TIMEOUT: Millis = Millis(500);
@@ -58,11 +58,6 @@
         self.socket.send_to(&rmp_serde::to_vec(&heartbeat).unwrap(), vm).await.unwrap();
     }
 
-    /// The address where the probe gets heartbeats.
-    pub fn address(&self) -> SocketAddr {
-        self.member.heartbeats
-    }
-
     /// Asks the VM for a heartbeat; returns the age of its copy of `feed`.
     pub async fn age(&mut self, vm: SocketAddr, feed: Feed) -> Option<Millis> {
         let mut buffer = [0; 4_096];
@@ -81,6 +76,16 @@
         }
     }
 
+    /// The description that the probe sends of itself.
+    pub fn member(&self) -> Member {
+        self.member.clone()
+    }
+
+    /// Sends a datagram as it is.
+    pub async fn send_bytes(&self, vm: SocketAddr, bytes: &[u8]) {
+        self.socket.send_to(bytes, vm).await.unwrap();
+    }
+
     async fn send(&mut self, vm: SocketAddr, newest: [u64; 2], ages: [Option<u64>; 2], asks: bool) {
         self.member.beat += 1;
         let heartbeat: Heartbeat = (vec![self.member.clone()], Vec::new(), newest, ages, None);
--- a/components/gateway/tests/world/store.rs
+++ b/components/gateway/tests/world/store.rs
@@ -123,7 +123,7 @@
         self.waits.borrow().clone()
     }
 
-    fn put(&self, feed: Feed, key: Arc<str>, content: Content) {
+    pub fn put(&self, feed: Feed, key: Arc<str>, content: Content) {
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
         let change = Change { key: Arc::clone(&key), revision, content };
--- a/components/steering/src/catalogue.rs
+++ b/components/steering/src/catalogue.rs
@@ -13,6 +13,10 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+/// The greatest revision. A store that counts changes doesn't get there, and JSON numbers are exact
+/// up to it.
+pub const MAX_REVISION: u64 = 1 << 53;
+
 /// A stream of changes, read with a cursor of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Feed {
@@ -46,7 +50,7 @@
     Upstream(Arc<Upstream>),
     /// None, since the row was removed.
     Removed,
-    /// Bytes of another writer that could not be decoded, and why.
+    /// An entry of another writer that can't be decoded or used, and why.
     Unreadable(Arc<str>),
 }
 
@@ -75,6 +79,14 @@
     pub changes: Vec<Change>,
 }
 
+impl Batch {
+    /// Whether all revisions are within [`MAX_REVISION`].
+    pub fn has_valid_revisions(&self) -> bool {
+        let changes = self.changes.iter().map(|change| change.revision);
+        changes.chain([self.revision]).all(|revision| revision <= MAX_REVISION)
+    }
+}
+
 /// A change of the catalogue, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -106,11 +118,13 @@
         /// When the upstream is removed, unless it registers again.
         until: Millis,
     },
-    /// A row could not be decoded.
+    /// A row can't be decoded or used, for another reason than before.
     Unreadable {
         /// The row.
         key: Arc<str>,
-        /// The decoding error.
+        /// Why.
         reason: Arc<str>,
+        /// Whether it was the entry of an upstream that was in use.
+        was_used: bool,
     },
 }
--- a/components/steering/src/catalogue/state.rs
+++ b/components/steering/src/catalogue/state.rs
@@ -1,12 +1,14 @@
 use super::{Batch, Change, Content, Event, Feed};
 use crate::routing::{Configuration, Readiness, Upstream};
 use clock::Millis;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 /// Removed rows that are kept, so that peers can fetch the removals; half of them are dropped above
 /// this.
 const MAX_TOMBSTONES: usize = 512;
+/// Most bytes of the reason why an entry can't be used: errors quote values, and peers get them too.
+const MAX_REASON_BYTES: usize = 120;
 
 /// The state of both feeds.
 #[derive(Debug, Default)]
@@ -135,15 +137,21 @@
             _ => None,
         });
         let lapsed = self.lapsed.values().map(|(upstream, _)| upstream);
-        listed.chain(lapsed).filter(|upstream| {
-            upstream.readiness == Readiness::Ready && !self.is_evacuated(&upstream.domain)
+        let evacuated: HashSet<&str> = self.evacuated().collect();
+        listed.chain(lapsed).filter(move |upstream| {
+            upstream.readiness == Readiness::Ready && !evacuated.contains(upstream.domain.as_ref())
         })
     }
 
     /// Whether a failure domain is evacuated: nothing may be sent there.
     pub fn is_evacuated(&self, domain: &str) -> bool {
-        self.operators.rows.values().any(|change| {
-            matches!(&change.content, Content::Evacuation(each) if each.as_ref() == domain)
+        self.evacuated().any(|each| each == domain)
+    }
+
+    fn evacuated(&self) -> impl Iterator<Item = &str> {
+        self.operators.rows.values().filter_map(|change| match &change.content {
+            Content::Evacuation(domain) => Some(domain.as_ref()),
+            _ => None,
         })
     }
 
@@ -191,7 +199,7 @@
                 self.restored.insert(Arc::clone(&domain), now);
                 events.push(Event::Restored(domain));
             }
-            (Content::Unreadable(reason), _) => events.push(unreadable(change, reason)),
+            (Content::Unreadable(_), before) => events.extend(unreadable(change, before, false)),
             _ => {}
         }
     }
@@ -204,8 +212,17 @@
         retention: Millis,
         events: &mut Vec<Event>,
     ) {
-        let before = match before {
-            Some(Content::Upstream(upstream)) => Some(upstream),
+        let before = match (&change.content, before) {
+            (Content::Unreadable(_), before) => {
+                // It was written while the store could be reached, so the entry has not lapsed.
+                let lapsed = self.lapsed.remove(&change.key).is_some();
+                let was_used = lapsed
+                    || matches!(&before, Some(Content::Upstream(upstream))
+                        if upstream.readiness == Readiness::Ready);
+                events.extend(unreadable(change, before, was_used));
+                return;
+            }
+            (_, Some(Content::Upstream(upstream))) => Some(upstream),
             _ => None,
         };
         match &change.content {
@@ -233,7 +250,6 @@
                 Some(_) => events.push(Event::Left(Arc::clone(&change.key))),
                 None => {}
             },
-            Content::Unreadable(reason) => events.push(unreadable(change, reason)),
             _ => {}
         }
     }
@@ -256,6 +272,7 @@
                 continue;
             }
             let before = known.map(|known| known.content.clone());
+            let change = Change { content: usable(&change.key, change.content), ..change };
             self.newest = self.newest.max(change.revision);
             self.rows.insert(Arc::clone(&change.key), change.clone());
             changed.push((change, before));
@@ -270,7 +287,7 @@
     }
 
     fn remove_unlisted(&mut self, batch: &Batch) -> Vec<(Change, Option<Content>)> {
-        let listed: std::collections::HashSet<&str> =
+        let listed: HashSet<&str> =
             batch.changes.iter().map(|change| change.key.as_ref()).collect();
         let mut changed = Vec::new();
         for change in self.rows.values_mut() {
@@ -305,6 +322,33 @@
     }
 }
 
-fn unreadable(change: &Change, reason: &Arc<str>) -> Event {
-    Event::Unreadable { key: Arc::clone(&change.key), reason: Arc::clone(reason) }
+/// The content, or why it can't be used. Peers of other versions may send what the store's reader
+/// would not.
+fn usable(key: &str, content: Content) -> Content {
+    let reason = match &content {
+        Content::Upstream(upstream) if *upstream.id != *key => {
+            Some(format!("the id is `{}`", upstream.id))
+        }
+        Content::Upstream(upstream) => upstream.defect(),
+        Content::Unreadable(reason) if reason.len() > MAX_REASON_BYTES => Some(reason.to_string()),
+        _ => None,
+    };
+    match reason {
+        Some(mut reason) => {
+            reason.truncate(reason.floor_char_boundary(MAX_REASON_BYTES));
+            Content::Unreadable(reason.into())
+        }
+        None => content,
+    }
+}
+
+/// The event of a row that can't be used; `None` if it couldn't for the same reason before: another
+/// writer may write it again and again.
+fn unreadable(change: &Change, before: Option<Content>, was_used: bool) -> Option<Event> {
+    let Content::Unreadable(reason) = &change.content else {
+        return None;
+    };
+    let is_known = !was_used && before.as_ref() == Some(&change.content);
+    let (key, reason) = (Arc::clone(&change.key), Arc::clone(reason));
+    (!is_known).then_some(Event::Unreadable { key, reason, was_used })
 }
--- a/components/steering/src/routing.rs
+++ b/components/steering/src/routing.rs
@@ -13,8 +13,15 @@
 use clock::Millis;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::Arc;
 
+/// The most slots of an upstream: it runs one request at a time on a connection, and has no more
+/// connections to an address than that has ports.
+const MAX_SLOTS: u32 = 65_535;
+/// The longest time that an upstream stays cold.
+const MAX_COLD_SPAN: Millis = Millis::from_secs(24 * 60 * 60);
+
 /// How often a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
@@ -168,3 +175,26 @@
     /// Differs for each start under the same id.
     pub incarnation: u64,
 }
+
+impl Upstream {
+    /// Why no requests can be sent to what the entry describes; `None` if they can. See
+    /// docs/DATAPATH.md, "Odd entries".
+    pub fn defect(&self) -> Option<String> {
+        let ip = self.address.ip().to_canonical();
+        let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+            return Some(format!("address {} can't be connected to", self.address));
+        }
+        // Requests name the id in a header field.
+        if self.id.is_empty() || self.id.contains(|c: char| c.is_control() || c.is_whitespace()) {
+            return Some("the id is empty or contains spaces or control characters".to_owned());
+        }
+        if !(1..=MAX_SLOTS).contains(&self.slots) {
+            return Some(format!("{} slots: expected 1 to {MAX_SLOTS}", self.slots));
+        }
+        if self.cold_left > MAX_COLD_SPAN {
+            return Some(format!("cold for {}: expected at most {MAX_COLD_SPAN}", self.cold_left));
+        }
+        None
+    }
+}
--- a/components/steering/src/routing/split.rs
+++ b/components/steering/src/routing/split.rs
@@ -15,8 +15,8 @@
 impl Splitter {
     /// Selects the service for the next request of `route`; `None` if the route has no target.
     pub fn pick(&mut self, route: &Route) -> Option<Arc<str>> {
-        let total: u32 = route.targets.iter().map(|target| target.weight).sum();
-        if route.targets.len() < 2 || total == 0 {
+        let total: f64 = route.targets.iter().map(|target| f64::from(target.weight)).sum();
+        if route.targets.len() < 2 || total == 0.0 {
             return route.targets.first().map(|target| Arc::clone(&target.service));
         }
         let deficits = self.deficits.entry(Arc::clone(&route.name)).or_default();
@@ -24,7 +24,7 @@
             *deficits = vec![0.0; route.targets.len()];
         }
         for (deficit, target) in deficits.iter_mut().zip(&route.targets) {
-            *deficit += f64::from(target.weight) / f64::from(total);
+            *deficit += f64::from(target.weight) / total;
         }
         let most = (0..deficits.len()).max_by(|a, b| deficits[*a].total_cmp(&deficits[*b]))?;
         deficits[most] -= 1.0;
--- a/components/steering/tests/catalogue.rs
+++ b/components/steering/tests/catalogue.rs
@@ -160,6 +160,41 @@
     assert_eq!(ids(&catalogue), ["a"]);
 }
 
+/// Guards against requests to an address that another writer's entry has taken the place of, and
+/// against an entry that fills the log.
+#[test]
+fn an_upstream_whose_entry_becomes_odd_is_out_at_once_and_reported_once() {
+    let unreadable =
+        |revision, reason: &str| change("a", revision, Content::Unreadable(reason.into()));
+    for is_lapsed in [false, true] {
+        let mut catalogue = with_two();
+        catalogue.begin_outage_grace(NOW + Millis(2_500));
+        if is_lapsed {
+            let removed = vec![change("a", 4, Content::Removed)];
+            catalogue.apply(batch(Feed::Upstreams, false, 4, removed), NOW, RETENTION);
+            assert_eq!(ids(&catalogue), ["a", "b"]);
+        }
+        let mut apply = |change: Change| {
+            let batch = batch(Feed::Upstreams, false, change.revision, vec![change]);
+            let events = catalogue.apply(batch, NOW, RETENTION);
+            (events, ids(&catalogue).contains(&"a".to_owned()))
+        };
+        let (events, is_used) = apply(unreadable(5, "noise"));
+        assert!(matches!(events[..], [Event::Unreadable { was_used: true, .. }]), "{events:?}");
+        assert!(!is_used);
+        assert_eq!(apply(unreadable(6, "noise")), (vec![], false));
+        let (events, _) = apply(unreadable(7, "more noise"));
+        assert!(matches!(events[..], [Event::Unreadable { was_used: false, .. }]), "{events:?}");
+        // A removal within the grace is not a lapse: nothing is known of the upstream any more.
+        assert_eq!(apply(change("a", 8, Content::Removed)), (vec![], false));
+        let joined = vec![Event::Joined("a".into())];
+        assert_eq!(apply(change("a", 9, upstream("a", 1, Readiness::Ready))), (joined, true));
+        assert!(apply(unreadable(10, &"\u{e9}".repeat(50_000))).0.iter().all(|event| {
+            matches!(event, Event::Unreadable { reason, .. } if reason.len() < 200)
+        }));
+    }
+}
+
 #[test]
 fn a_leaving_upstream_is_removed_at_once_even_within_the_outage_grace() {
     let mut catalogue = with_two();
--- a/components/steering/tests/routing.rs
+++ b/components/steering/tests/routing.rs
@@ -58,3 +58,12 @@
         }
     }
 }
+
+/// Guards against a VM that ends, or splits wrongly, since the sum of the weights overflows.
+#[test]
+fn large_weights_split_like_small_ones() {
+    let route = route("split", "a", "/", &[u32::MAX, u32::MAX]);
+    let mut splitter = Splitter::default();
+    let picks: Vec<_> = (0..10).filter_map(|_| splitter.pick(&route)).collect();
+    assert_eq!(picks.iter().filter(|service| service.as_ref() == "s0").count(), 5);
+}
