Apply the homes of every route as which a path may be read

The path decides the route as it is written and goes on unchanged. A caller could send `/read/../home/1`, `/read/..%2Fhome/1` or `/read//../home/1` on a route without homes to an upstream in any region, which may read it as `/home/1` of a route with homes.

But whoever restricts a path to regions expects that what is stored or run under it stays there, whatever the spelling. So the homes of the route that the path with escapes decoded, slashes merged and dot segments resolved would have apply as well. If both leave no region, the request is refused as not run.

gateway/tests/regions, a_path_that_may_be_read_as_one_with_homes_has_them, before the change: left: (200, ["/read/../home/1"]), right: (503, []). Other spellings of host and target (case, port, trailing dot, two hosts, absolute form, a query right behind the prefix) passed before: same route, 404 or 400.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -94,7 +94,9 @@
         return Reply::failure(Kind::UnknownRoute, None);
     };
     progress.route = Arc::clone(&route.name);
-    progress.regions = route.regions.join(",");
+    let mut homes = Homes::default();
+    table.restrict(&mut homes, host, head.path());
+    progress.regions = homes.to_string();
     let service = core.splitter.borrow_mut().pick(&route);
     let service = service.and_then(|name| table.service(&name).cloned());
     let Some(service) = service else {
@@ -108,8 +110,6 @@
         return Reply::failure(Kind::Leaving, Some(MIN_RETRY_AFTER));
     }
     core.retry_budget.borrow_mut().record_request(&service.name, arrived);
-    let mut homes = Homes::default();
-    table.restrict(&mut homes, host, head.path());
     let job = Job { head, body, id, deadline, table, homes };
     Attempts {
         core,
--- a/components/gateway/src/reporting.rs
+++ b/components/gateway/src/reporting.rs
@@ -22,7 +22,7 @@
     pub route: &'a str,
     /// Name of the service, or empty if none was chosen.
     pub service: &'a str,
-    /// The regions that the route allows, or empty if it allows all.
+    /// The regions that may get the request, or empty if all may.
     pub regions: &'a str,
     /// Id of the last upstream chosen, or empty.
     pub upstream: &'a str,
--- a/components/gateway/tests/regions.rs
+++ b/components/gateway/tests/regions.rs
@@ -283,3 +283,68 @@
         .await;
     }
 }
+
+/// Guards against requests that leave their homes by a spelling: the path begins with the prefix of
+/// a route without homes, and the upstream may read it as one of a route with homes.
+#[tokio::test]
+async fn a_path_that_may_be_read_as_one_with_homes_has_them() {
+    run_test(async |world| {
+        let upstream = world.upstream_in("u1", "d2").await;
+        world.declare_with(1, |configuration| {
+            let home = world::route("/home/", Effect::Idempotent);
+            configuration.routes.push(Arc::new(Route { regions: vec!["r1".into()], ..home }));
+        });
+        let vm = gateway(&world).await;
+        vm.await_ready().await;
+        for path in [
+            "/read/../home/1",
+            "/read/%2e%2E/home/1",
+            "/read/..%2Fhome/1",
+            "/read/..%2f%68ome/1?q=%2E",
+            "/read//../home/1",
+            "/read//../../home/1",
+            "/read/./x/.././../home/",
+        ] {
+            let reply = send(&vm, &get(path, "r")).await;
+            assert_eq!((reply.status, upstream.received()), (503, Vec::new()), "{path}");
+        }
+        for (path, id) in [
+            ("/read/1", "s1"),
+            ("/read/home/1", "s2"),
+            ("/read/%41/../b//c%2", "s3"),
+            ("/read/?/../home/1", "s4"),
+        ] {
+            assert_eq!(send(&vm, &get(path, id)).await.status, 200, "{path}");
+        }
+    })
+    .await;
+}
+
+/// Guards against requests that leave their homes by another spelling of the host or the target: a
+/// request has the route of its host and path, or none.
+#[tokio::test]
+async fn another_spelling_of_a_request_has_the_same_homes_or_no_route() {
+    run_test(async |world| {
+        let upstream = world.upstream_in("u1", "d2").await;
+        world.declare_with(1, |configuration| {
+            let home = world::route("/read/home/", Effect::Idempotent);
+            configuration.routes.push(Arc::new(Route { regions: vec!["r1".into()], ..home }));
+        });
+        let vm = gateway(&world).await;
+        vm.await_ready().await;
+        let host = format!("Host: {}", world::HOST);
+        for (from, to, status) in [
+            ("/read/home/1", "/read/home/?q", 503),
+            (host.as_str(), "Host: STATUS.example:80", 503),
+            (host.as_str(), "Host: status.example.", 404),
+            (host.as_str(), "Host: status.example\r\nHost: other.example", 400),
+            ("/read/home/1", "http://status.example/read/home/1", 400),
+            ("/read/home/1", "*", 400),
+        ] {
+            let text = get("/read/home/1", "r").replace(from, to);
+            let reply = send(&vm, &text).await;
+            assert_eq!((reply.status, upstream.received()), (status, Vec::new()), "{to}");
+        }
+    })
+    .await;
+}
--- a/components/steering/src/routing.rs
+++ b/components/steering/src/routing.rs
@@ -3,6 +3,7 @@
 //! See docs/DATAPATH.md, "Routes".
 
 mod homes;
+mod path;
 mod split;
 mod table;
 
--- a/components/steering/src/routing/homes.rs
+++ b/components/steering/src/routing/homes.rs
@@ -1,9 +1,11 @@
 use super::Route;
+use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 
 /// The regions that may get a request: those that each of its routes allows.
 ///
-/// A request has more than one route if the configuration changes before it is sent.
+/// A request has more than one route if the configuration changes before it is sent, or if its path
+/// may be read in more than one way.
 #[derive(Clone, Debug, Default)]
 pub struct Homes {
     /// The routes that are restricted to regions.
@@ -13,7 +15,8 @@
 impl Homes {
     /// Restricts the regions to those that `route` allows as well.
     pub fn restrict(&mut self, route: &Arc<Route>) {
-        if !route.regions.is_empty() {
+        let is_known = self.routes.iter().any(|known| Arc::ptr_eq(known, route));
+        if !route.regions.is_empty() && !is_known {
             self.routes.push(Arc::clone(route));
         }
     }
@@ -29,3 +32,12 @@
         self.routes.iter().all(|route| route.regions.iter().any(is_home))
     }
 }
+
+impl Display for Homes {
+    /// The regions of each route, separated by commas; those of several routes by `&`.
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let regions: Vec<String> =
+            self.routes.iter().map(|route| route.regions.join(",")).collect();
+        formatter.write_str(&regions.join("&"))
+    }
+}
