Send no request behind extra bytes of a health check

Bytes behind the response of a check would be read as the response to the request. Such a connection is closed and another one opened, as after a check that ends its connection. The log line on a replaced upstream tells new from kept connections in checks as well.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -134,7 +134,7 @@
 ) -> Outcome {
     let Connection { mut reader, mut writer, mut ids, mut identified } = connection;
     let sent_at = core.clock.now();
-    let origin = if ids.is_empty() { "new" } else { "kept" };
+    let origin = ids.origin();
     ids.record(&job.id);
     let bytes = encode_request(core, job, endpoint);
     let mut sent = false;
--- a/components/gateway/src/identity.rs
+++ b/components/gateway/src/identity.rs
@@ -17,8 +17,8 @@
 /// The part of the time left that a check may take, so that another upstream can be used.
 const TIME_DIVISOR: u64 = 2;
 
-/// Asks the upstream at the other end of `connection` for its id; returns whether the connection
-/// stays open.
+/// Asks the upstream at the other end of `connection` for its id; returns whether a request may be
+/// sent on the connection afterwards.
 ///
 /// # Errors
 ///
@@ -42,14 +42,14 @@
     };
     if *id != *endpoint.entry.id {
         let request = std::str::from_utf8(&job.id).unwrap_or_default();
-        reporting::upstream_replaced(request, endpoint, "new");
+        reporting::upstream_replaced(request, endpoint, connection.ids.origin());
         return Err(Cause::Replaced);
     }
     endpoint.record_identity(sent + core.settings().bounds.address_reuse);
     attempt::record_load(core, endpoint, &response);
     attempt::record_statement(core, endpoint, &response);
     connection.identified = true;
-    Ok(response.keep_alive)
+    Ok(response.keep_alive && connection.reader.is_reusable().await)
 }
 
 /// Sends a health check and reads the response; `None` if there is none.
--- a/components/gateway/src/reporting.rs
+++ b/components/gateway/src/reporting.rs
@@ -98,7 +98,8 @@
     let address = endpoint.entry.address.to_string();
     log::info!(
         target: "attempt", request = request, upstream = endpoint.entry.id.as_ref(),
-        region = endpoint.region.as_deref().unwrap_or_default(), address = address.as_str(), connection = connection;
+        region = endpoint.region.as_deref().unwrap_or_default(), address = address.as_str(),
+        connection = connection;
         "another upstream answers at the address; sending no more requests there"
     );
 }
