Ask a peer for all VMs at long intervals once the view has converged

After the death of more than a tenth of the VMs, those that notice it first know fewer than the others for up to some seconds, asked one of them every 250 ms for all VMs that it knows, and learnt nothing: with 700 VMs an answer is about 140 KB. A VM that has converged now asks at most every 3 s, which is enough after a cut.

--- a/components/steering/src/convergence.rs
+++ b/components/steering/src/convergence.rs
@@ -14,8 +14,11 @@
 /// The part of the live VMs that a peer knows from which a view counts as whole; datagrams may be
 /// lost.
 const WHOLE_FRACTION: f64 = 0.9;
-/// Time between two questions for all VMs that a peer knows.
+/// Time between two questions for all VMs that a peer knows, until the view has converged.
 const ASK_INTERVAL: Millis = Millis(250);
+/// The same for a view that has converged. After the death of many VMs, those that notice it first
+/// know fewer than the others for a while, and the answers to them have nothing new.
+const CONVERGED_ASK_INTERVAL: Millis = Millis(3_000);
 
 /// A VM's view of the deployment's VMs, compared with those of its peers.
 #[derive(Debug)]
@@ -58,7 +61,8 @@
     /// whether to ask that peer for all of them.
     pub fn record_peer(&mut self, peers: usize, live: usize, now: Millis) -> bool {
         self.told = self.told.max(peers);
-        let is_due = self.asked.is_none_or(|asked| now >= asked + ASK_INTERVAL);
+        let interval = if self.converged { CONVERGED_ASK_INTERVAL } else { ASK_INTERVAL };
+        let is_due = self.asked.is_none_or(|asked| now >= asked + interval);
         let asks = is_due && !is_whole(live, peers);
         if asks {
             self.asked = Some(now);
