Send few large changes at a time to peers

Change: changes of 64 KB or more are sent to as many peers at a time as half of the link carries within 300 ms, or to one. Others get 503 and ask the next VM that they hear has the changes.

Without the check of the uplink the test in gateway/tests/transfers fails: the link is busy with the first one: left: 200, right: 503

--- a/components/gateway/src/changes.rs
+++ b/components/gateway/src/changes.rs
@@ -25,7 +25,7 @@
 /// The timeouts are short, as there are other peers to ask.
 const CONNECTION_TIMEOUTS: Timeouts = Timeouts { connect: Millis(300), silence: Millis(1_500) };
 const MAX_BODY_BYTES: u64 = 8 * 1024 * 1024;
-/// Changes of this size take a while on a slow link, and are logged.
+/// Changes of this size take a while on a slow link: few are sent at a time, and they are logged.
 const LARGE_BYTES: usize = 64 * 1024;
 const PATH: &str = "/changes";
 
@@ -50,6 +50,10 @@
     match rmp_serde::to_vec(&batch) {
         Ok(bytes) => {
             if bytes.len() >= LARGE_BYTES {
+                let (mbps, now) = (core.settings().link_mbps, core.clock.now());
+                if !core.uplink.borrow_mut().admit(bytes.len(), mbps, now) {
+                    return Reply::failure(Kind::Overloaded, None);
+                }
                 log::info!(
                     target: "changes", feed = feed.as_str(), after = after, full = batch.full,
                     rows = batch.changes.len(), bytes = bytes.len();
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -17,6 +17,7 @@
 use steering::retry_budget::{Budget, Limits};
 use steering::routing::{Limits as RequestLimits, Splitter, Table};
 use steering::staleness;
+use steering::uplink::Uplink;
 use steering::uptime::Uptime;
 use tokio::sync::{Notify, watch};
 
@@ -99,6 +100,8 @@
     pub retry_budget: RefCell<Budget>,
     /// Chooses among the services of routes with a traffic split.
     pub splitter: RefCell<Splitter>,
+    /// Limits the large changes that are sent to peers at a time.
+    pub uplink: RefCell<Uplink>,
     /// The newest revision of each feed that a peer has.
     pub newest_of_peers: Cell<[u64; 2]>,
     /// The latest span in which the store responded to this VM or its peers without an outage.
@@ -172,6 +175,7 @@
             cross_region: RefCell::new(Limiter::new(bounds.max_shift, now)),
             retry_budget: RefCell::new(Budget::new(limits, now)),
             splitter: RefCell::default(),
+            uplink: RefCell::default(),
             newest_of_peers: Cell::default(),
             store_uptime: Cell::default(),
             confirmed: Cell::default(),
--- a/components/gateway/tests/transfers.rs
+++ b/components/gateway/tests/transfers.rs
@@ -9,7 +9,7 @@
 use steering::routing::Effect;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use world::caller::get;
+use world::caller::{Caller, get};
 use world::probe::Probe;
 use world::{Vm, World, configuration, route, run_test, until};
 
@@ -18,6 +18,9 @@
 /// More than a response may take to begin, less than the bound leaves for the transfer.
 const TRANSFER: Millis = Millis(1_300);
 const PIECES: usize = 20;
+/// A configuration with this number of routes takes long on a link of [`SLOW_MBPS`].
+const MANY_ROUTES: usize = 1_500;
+const SLOW_MBPS: u32 = 2;
 
 /// The VM must serve the route `/new/` within the bound on configurations.
 async fn check_change_in_force(vm: &Vm) {
@@ -109,3 +112,32 @@
     })
     .await;
 }
+
+/// The status of the response to a request for changes of `feed` that a VM without a copy makes.
+async fn fetch(vm: &Vm, feed: Feed) -> u16 {
+    let mut caller = Caller::connect(vm.changes()).await;
+    let target = format!("/changes?feed={}&after=0", feed.as_str());
+    caller.send(&format!("GET {target} HTTP/1.1\r\nHost: x\r\n\r\n")).await;
+    caller.response().await.unwrap().status
+}
+
+/// Guards against a large configuration that reaches all peers late, since all of them fetch it from
+/// one VM with a slow link at once.
+#[tokio::test]
+async fn a_vm_sends_few_large_changes_at_a_time_and_all_small_ones() {
+    run_test(async |world| {
+        world.upstream("u1").await;
+        world.declare_with(1, |configuration| {
+            let routes = (0..MANY_ROUTES)
+                .map(|number| Arc::new(route(&format!("/many/{number}/"), Effect::Idempotent)));
+            configuration.routes.extend(routes);
+        });
+        let vm = world.gateway_with("a", |settings| settings.link_mbps = SLOW_MBPS).await;
+        vm.await_ready().await;
+        assert_eq!(fetch(&vm, Feed::Operators).await, 200);
+        assert_eq!(fetch(&vm, Feed::Operators).await, 503, "the link is busy with the first one");
+        assert_eq!(fetch(&vm, Feed::Upstreams).await, 200, "this one is small");
+        until(async || fetch(&vm, Feed::Operators).await == 200).await;
+    })
+    .await;
+}
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -151,6 +151,10 @@
         SocketAddr::new(self.ip, HEARTBEATS)
     }
 
+    pub fn changes(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CHANGES)
+    }
+
     pub async fn connect(&self) -> Caller {
         Caller::connect(self.callers()).await
     }
--- a/components/steering/src/lib.rs
+++ b/components/steering/src/lib.rs
@@ -36,6 +36,7 @@
 mod snapshot;
 mod split;
 pub mod staleness;
+pub mod uplink;
 pub mod uptime;
 pub mod warmup;
 pub mod weights;
