--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -11,7 +11,7 @@
 use clock::Millis;
 use http1::{Error, Framing, Headers, Reader, Request, Response, encode};
 use std::rc::Rc;
-use steering::routing::{Homes, Service, Table};
+use steering::routing::{AllowedRegions, Service, Table};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc;
 
@@ -47,20 +47,20 @@
     /// The routes that were in force when the request was read.
     pub table: Rc<Table>,
     /// The regions that they allow.
-    pub homes: Homes,
+    pub allowed: AllowedRegions,
 }
 
 impl Job {
     /// The regions that may get the request now: the configuration in force must allow them too.
-    pub fn homes(&self, core: &Core) -> Homes {
-        let mut homes = self.homes.clone();
+    pub fn allowed_regions(&self, core: &Core) -> AllowedRegions {
+        let mut allowed = self.allowed.clone();
         let table = core.table();
         if Rc::ptr_eq(&table, &self.table) {
-            return homes;
+            return allowed;
         }
         let host = self.head.headers.text("host").unwrap_or_default();
-        table.restrict(&mut homes, host, self.head.path());
-        homes
+        table.restrict(&mut allowed, host, self.head.path());
+        allowed
     }
 }
 
@@ -87,9 +87,9 @@
         keep(core, endpoint, connection, None);
         return Outcome::Failed(Cause::UpstreamLeft);
     }
-    if !job.homes(core).allows(endpoint.region.as_deref()) {
+    if !job.allowed_regions(core).allows(endpoint.region.as_deref()) {
         keep(core, endpoint, connection, None);
-        return Outcome::Failed(Cause::OutsideHomes);
+        return Outcome::Failed(Cause::OutsideRegions);
     }
     let remaining = job.deadline - now + DEADLINE_MARGIN;
     match tokio::time::timeout(
@@ -103,8 +103,8 @@
     }
 }
 
-/// Takes or opens a connection for `job`. If the job has homes, it must not reach another upstream
-/// that has the address now, even though that one would not execute it.
+/// Takes or opens a connection for `job`. If its regions are restricted, it must not reach another
+/// upstream that has the address now, even though that one would not execute it.
 async fn connect(
     core: &Core,
     job: &Job,
@@ -116,7 +116,7 @@
         let connection = open(core, endpoint, &job.id, job.deadline).await;
         let mut connection = connection.ok_or(Cause::Connect)?;
         if connection.identified
-            || !job.homes(core).is_restricted()
+            || !job.allowed_regions(core).is_restricted()
             || identity::check(core, job, service, endpoint, &mut connection).await?
         {
             return Ok(connection);
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use steering::affinity::Reason;
 use steering::catalogue::Feed;
-use steering::routing::{Effect, Homes, Route, Service};
+use steering::routing::{AllowedRegions, Effect, Route, Service};
 
 /// Deadline of requests whose caller gives none.
 const DEFAULT_DEADLINE: Millis = Millis::from_secs(30);
@@ -94,9 +94,9 @@
         return Reply::failure(Kind::UnknownRoute, None);
     };
     progress.route = Arc::clone(&route.name);
-    let mut homes = Homes::default();
-    table.restrict(&mut homes, host, head.path());
-    progress.regions = homes.to_string();
+    let mut allowed = AllowedRegions::default();
+    table.restrict(&mut allowed, host, head.path());
+    progress.regions = allowed.to_string();
     let service = core.splitter.borrow_mut().pick(&route);
     let service = service.and_then(|name| table.service(&name).cloned());
     let Some(service) = service else {
@@ -110,7 +110,7 @@
         return Reply::failure(Kind::Leaving, Some(MIN_RETRY_AFTER));
     }
     core.retry_budget.borrow_mut().record_request(&service.name, arrived);
-    let job = Job { head, body, id, deadline, table, homes };
+    let job = Job { head, body, id, deadline, table, allowed };
     Attempts {
         core,
         route: &route,
@@ -211,11 +211,11 @@
 
     fn place(&self, now: Millis) -> Result<(Rc<Endpoint>, steering::affinity::Choice), Millis> {
         let object = self.job.head.headers.get(self.core.protocol.names().object);
-        let homes = self.job.homes(self.core);
+        let allowed = self.job.allowed_regions(self.core);
         let demand = Demand {
             route: self.route,
             service: self.service,
-            homes: &homes,
+            allowed: &allowed,
             object: object.map(|object| object.as_ref()).unwrap_or_default(),
             tried: &self.tried,
             elapsed: now - self.arrived,
@@ -246,7 +246,7 @@
             Outcome::Failed(Cause::Shed | Cause::Unidentified) => {
                 endpoint.load(now) < f64::from(endpoint.slots())
             }
-            Outcome::Failed(Cause::Deadline | Cause::UpstreamLeft | Cause::OutsideHomes) => false,
+            Outcome::Failed(Cause::Deadline | Cause::UpstreamLeft | Cause::OutsideRegions) => false,
             Outcome::Response(_) | Outcome::Failed(_) | Outcome::TimedOut => true,
         };
         if has_failed && endpoint.record_failure(now) {
@@ -287,8 +287,8 @@
         if self.may_have_run {
             return Reply::failure(Kind::UpstreamBroken, None);
         }
-        let homes = self.job.homes(self.core);
-        if let Some(pause) = placement::pause(self.core, &homes, self.service) {
+        let allowed = self.job.allowed_regions(self.core);
+        if let Some(pause) = placement::pause(self.core, &allowed, self.service) {
             progress.reason = "paused";
             return Reply::failure(Kind::Overloaded, Some(pause.max(MIN_RETRY_AFTER)));
         }
--- a/components/gateway/src/outcome.rs
+++ b/components/gateway/src/outcome.rs
@@ -25,7 +25,7 @@
     UpstreamLeft,
     /// Before anything was sent, a configuration came into force that does not allow the upstream's
     /// region.
-    OutsideHomes,
+    OutsideRegions,
     /// Before anything was sent, a check showed that the address belongs to another upstream now.
     Replaced,
     /// Before anything was sent, a check did not show whether the address belongs to the upstream.
@@ -70,7 +70,7 @@
             Cause::Connect
             | Cause::Deadline
             | Cause::UpstreamLeft
-            | Cause::OutsideHomes
+            | Cause::OutsideRegions
             | Cause::Replaced
             | Cause::Unidentified => Execution::NotSent,
             Cause::Misdirected | Cause::Shed => Execution::NotRun,
@@ -91,7 +91,7 @@
             Cause::Connect => "connect",
             Cause::Deadline => "deadline",
             Cause::UpstreamLeft => "left",
-            Cause::OutsideHomes => "outside the homes",
+            Cause::OutsideRegions => "outside the regions",
             Cause::Replaced => "replaced",
             Cause::Unidentified => "not identified",
             Cause::Misdirected => "another upstream",
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use steering::affinity::{self, Candidate, Choice, Full, Policy};
 use steering::cross_region::Limiter;
-use steering::routing::{Homes, Route, Service};
+use steering::routing::{AllowedRegions, Route, Service};
 use steering::warmup;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -30,7 +30,7 @@
     /// The service.
     pub service: &'a Service,
     /// The regions that may get the request.
-    pub homes: &'a Homes,
+    pub allowed: &'a AllowedRegions,
     /// The affinity key, or empty.
     pub object: &'a [u8],
     /// Ids of the upstreams of earlier attempts.
@@ -142,26 +142,27 @@
     }
 }
 
-/// Whether an upstream may get requests with these homes at some time.
-fn is_usable(homes: &Homes, endpoint: &Endpoint) -> bool {
-    homes.allows(endpoint.region.as_deref())
+/// Whether an upstream may get requests in the `allowed` regions at some time.
+fn is_usable(allowed: &AllowedRegions, endpoint: &Endpoint) -> bool {
+    allowed.allows(endpoint.region.as_deref())
         && !endpoint.is_replaced()
         && !endpoint.statement.is_leaving()
 }
 
-/// Time until an upstream in `homes` takes requests again, if none of them wants any now.
-pub fn pause(core: &Core, homes: &Homes, service: &Service) -> Option<Millis> {
+/// Time until an upstream in the `allowed` regions takes requests again, if none of them wants any
+/// now.
+pub fn pause(core: &Core, allowed: &AllowedRegions, service: &Service) -> Option<Millis> {
     let now = core.clock.now();
     let upstreams = core.upstreams.borrow();
     let usable = upstreams.of_service(&service.name).iter();
-    let usable = usable.filter(|endpoint| is_usable(homes, endpoint));
+    let usable = usable.filter(|endpoint| is_usable(allowed, endpoint));
     let until = usable.map(|endpoint| endpoint.statement.paused_until()).min()?;
     (now < until).then(|| until - now)
 }
 
 /// Whether an upstream may get the request now, whatever its load.
 fn is_eligible(core: &Core, demand: &Demand<'_>, endpoint: &Rc<Endpoint>, now: Millis) -> bool {
-    if !is_usable(demand.homes, endpoint) || endpoint.statement.is_paused(now) {
+    if !is_usable(demand.allowed, endpoint) || endpoint.statement.is_paused(now) {
         return false;
     }
     if demand.tried.contains(&endpoint.entry.id) {
--- a/components/gateway/tests/regions.rs
+++ b/components/gateway/tests/regions.rs
@@ -1,5 +1,4 @@
-//! Requests on routes that are restricted to regions, their homes: none may reach an upstream
-//! elsewhere.
+//! Requests on routes that are restricted to regions: none may reach an upstream elsewhere.
 
 mod world;
 
@@ -66,10 +65,10 @@
     format!("/v{version}/")
 }
 
-/// Guards against retries by the homes of an older configuration: a request that was read before a
-/// change went to regions that the route in force no longer allows.
+/// Guards against retries by the regions of an older configuration: a request that was read before
+/// a change went to regions that the route in force no longer allows.
 #[tokio::test]
-async fn a_retry_honours_the_homes_in_force() {
+async fn a_retry_honours_the_regions_in_force() {
     run_test(async |world| {
         let (near, far, vm) = two_regions(&world).await;
         declare(&world, 1, &["r1", "r2"]);
@@ -79,12 +78,12 @@
         let mut caller = vm.connect().await;
         caller.send(&get("/read/1", "r")).await;
         until(async || !near.executed().is_empty() || !far.executed().is_empty()).await;
-        let (first, second, home) = match near.executed().is_empty() {
+        let (first, second, region) = match near.executed().is_empty() {
             true => (&far, &near, "r2"),
             false => (&near, &far, "r1"),
         };
         second.script([Behaviour::Respond]);
-        put_in_force(&world, &vm, 2, &[home]).await;
+        put_in_force(&world, &vm, 2, &[region]).await;
         let before = second.received();
         first.crash().await;
         assert_eq!(caller.response().await.unwrap().status, 502);
@@ -93,10 +92,10 @@
     .await;
 }
 
-/// Guards against requests that leave their homes by an address: an upstream ended, its address
+/// Guards against requests that leave their regions by an address: an upstream ended, its address
 /// belongs to one of another service and region, and its entry is still in the store.
 #[tokio::test]
-async fn another_upstream_at_an_address_gets_no_request_with_homes() {
+async fn another_upstream_at_an_address_gets_no_restricted_request() {
     for is_used_before in [false, true] {
         for text in [get("/read/1", "r"), post("/read/1", "r", "body"), post("/order/1", "o", "x")]
         {
@@ -122,8 +121,8 @@
     }
 }
 
-/// Guards against checks where they aren't needed: on routes without homes, on connections that are
-/// kept, and shortly after a response of the upstream on another connection.
+/// Guards against checks where they aren't needed: on routes that allow all regions, on connections
+/// that are kept, and shortly after a response of the upstream on another connection.
 #[tokio::test]
 async fn an_upstream_that_has_just_responded_is_not_checked() {
     run_test(async |world| {
@@ -167,7 +166,7 @@
 /// Guards against requests to an upstream whose check names nobody, and against callers that wait
 /// for it beyond their deadline.
 #[tokio::test]
-async fn a_request_with_homes_goes_to_the_next_upstream_if_a_check_fails() {
+async fn a_restricted_request_goes_to_the_next_upstream_if_a_check_fails() {
     for health in [None, Some(429)] {
         run_test(async |world| {
             let (a, b) = (world.upstream("u1").await, world.upstream("u2").await);
@@ -206,9 +205,9 @@
 }
 
 /// Guards against requests that are sent by what was known when their upstream was chosen: the
-/// homes and the upstream's region change while its connection is opened.
+/// allowed regions and the upstream's region change while its connection is opened.
 #[tokio::test]
-async fn a_change_before_a_request_is_sent_keeps_it_in_its_homes() {
+async fn a_change_before_a_request_is_sent_keeps_it_in_its_regions() {
     for is_route in [true, false] {
         run_test(async |world| {
             let upstream = world.upstream("u1").await;
@@ -233,10 +232,10 @@
     }
 }
 
-/// Guards against a failure domain that is taken for a region: the settings don't list it, and it is
-/// called like a home.
+/// Guards against a failure domain that is taken for a region: the settings don't list it, and it
+/// is called like an allowed region.
 #[tokio::test]
-async fn an_upstream_in_an_unknown_failure_domain_gets_no_request_with_homes() {
+async fn an_upstream_in_an_unknown_failure_domain_gets_no_restricted_request() {
     run_test(async |world| {
         let upstream = world.upstream_in("u1", "r2").await;
         declare(&world, 1, &["r2"]);
@@ -244,7 +243,7 @@
         vm.await_ready().await;
         assert_eq!(send(&vm, &get("/read/1", "r")).await.status, 503);
         assert_eq!((upstream.received(), upstream.checks()), (Vec::new(), 0));
-        // Without homes, where it runs doesn't matter.
+        // If all regions are allowed, where it runs doesn't matter.
         put_in_force(&world, &vm, 2, &[]).await;
         assert_eq!(send(&vm, &get("/read/2", "s")).await.status, 200);
     })
@@ -254,7 +253,7 @@
 /// Guards against requests by where an upstream was, on kept connections too: its entry names
 /// another failure domain, with and without another start, or the settings another region.
 #[tokio::test]
-async fn an_upstream_that_is_elsewhere_now_gets_no_request_with_homes() {
+async fn an_upstream_that_is_elsewhere_now_gets_no_restricted_request() {
     for change in 0..3 {
         run_test(async |world| {
             let upstream = world.upstream_in("u1", "d1").await;
@@ -284,10 +283,10 @@
     }
 }
 
-/// Guards against requests that leave their homes by a spelling: the path begins with the prefix of
-/// a route without homes, and the upstream may read it as one of a route with homes.
+/// Guards against requests that leave their regions by a spelling: the path begins with the prefix
+/// of a route that allows all regions, and the upstream may read it as one of a restricted route.
 #[tokio::test]
-async fn a_path_that_may_be_read_as_one_with_homes_has_them() {
+async fn a_path_that_may_be_read_as_a_restricted_one_is_restricted() {
     run_test(async |world| {
         let upstream = world.upstream_in("u1", "d2").await;
         world.declare_with(1, |configuration| {
@@ -320,10 +319,10 @@
     .await;
 }
 
-/// Guards against requests that leave their homes by another spelling of the host or the target: a
-/// request has the route of its host and path, or none.
+/// Guards against requests that leave their regions by another spelling of the host or the target:
+/// a request has the route of its host and path, or none.
 #[tokio::test]
-async fn another_spelling_of_a_request_has_the_same_homes_or_no_route() {
+async fn another_spelling_of_a_request_has_the_same_regions_or_no_route() {
     run_test(async |world| {
         let upstream = world.upstream_in("u1", "d2").await;
         world.declare_with(1, |configuration| {
--- a/components/gateway/tests/transfers.rs
+++ b/components/gateway/tests/transfers.rs
@@ -121,8 +121,8 @@
     caller.response().await.unwrap().status
 }
 
-/// Guards against a large configuration that reaches all peers late, since all of them fetch it from
-/// one VM with a slow link at once.
+/// Guards against a large configuration that reaches all peers late, since all of them fetch it
+/// from one VM with a slow link at once.
 #[tokio::test]
 async fn a_vm_sends_few_large_changes_at_a_time_and_all_small_ones() {
     run_test(async |world| {
--- a/components/steering/src/routing.rs
+++ b/components/steering/src/routing.rs
@@ -2,12 +2,12 @@
 //!
 //! See docs/DATAPATH.md, "Routes".
 
-mod homes;
+mod allowed_regions;
 mod path;
 mod split;
 mod table;
 
-pub use homes::Homes;
+pub use allowed_regions::AllowedRegions;
 pub use split::Splitter;
 pub use table::Table;
 
--- a/components/steering/src/routing/homes.rs
+++ b/components/steering/src/routing/allowed_regions.rs
@@ -7,12 +7,12 @@
 /// A request has more than one route if the configuration changes before it is sent, or if its path
 /// may be read in more than one way.
 #[derive(Clone, Debug, Default)]
-pub struct Homes {
+pub struct AllowedRegions {
     /// The routes that are restricted to regions.
     routes: Vec<Arc<Route>>,
 }
 
-impl Homes {
+impl AllowedRegions {
     /// Restricts the regions to those that `route` allows as well.
     pub fn restrict(&mut self, route: &Arc<Route>) {
         let is_known = self.routes.iter().any(|known| Arc::ptr_eq(known, route));
@@ -28,12 +28,12 @@
 
     /// Whether an upstream in `region` may get the request; `None` is an unknown region.
     pub fn allows(&self, region: Option<&str>) -> bool {
-        let is_home = |home: &Arc<str>| region == Some(home);
-        self.routes.iter().all(|route| route.regions.iter().any(is_home))
+        let is_allowed = |allowed: &Arc<str>| region == Some(allowed);
+        self.routes.iter().all(|route| route.regions.iter().any(is_allowed))
     }
 }
 
-impl Display for Homes {
+impl Display for AllowedRegions {
     /// The regions of each route, separated by commas; those of several routes by `&`.
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         let regions: Vec<String> =
--- a/components/steering/src/routing/path.rs
+++ b/components/steering/src/routing/path.rs
@@ -1,5 +1,5 @@
-/// The paths that an upstream may take `path` for, if it decodes escapes, merges slashes or resolves
-/// dot segments; empty if none of that changes the path.
+/// The paths that an upstream may take `path` for, if it decodes escapes, merges slashes or
+/// resolves dot segments; empty if none of that changes the path.
 pub fn readings(path: &str) -> Vec<String> {
     if !path.contains('%') && !path.contains("//") && !path.contains("/.") {
         return Vec::new();
--- a/components/steering/src/routing/table.rs
+++ b/components/steering/src/routing/table.rs
@@ -1,4 +1,4 @@
-use super::{Configuration, Homes, Limits, Route, Service, path};
+use super::{AllowedRegions, Configuration, Limits, Route, Service, path};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -45,13 +45,14 @@
         routes.iter().find(|route| path.starts_with(route.prefix.as_ref()))
     }
 
-    /// Restricts `homes` to the regions that may get a request. The path goes on as it is, and the
-    /// upstream may read it as one of another route, so the homes of that one apply as well.
-    pub fn restrict(&self, homes: &mut Homes, host: &str, path: &str) {
+    /// Restricts `allowed` to the regions that may get a request. The path goes on as it is, and
+    /// the upstream may read it as one of another route, so that the regions of that one apply as
+    /// well.
+    pub fn restrict(&self, allowed: &mut AllowedRegions, host: &str, path: &str) {
         let readings = path::readings(path);
         for reading in readings.iter().map(String::as_str).chain([path]) {
             if let Some(route) = self.route(host, reading) {
-                homes.restrict(route);
+                allowed.restrict(route);
             }
         }
     }
