--- a/components/gateway/src/changes.rs
+++ b/components/gateway/src/changes.rs
@@ -22,7 +22,7 @@
 const RESPONSE_TIMEOUT: Millis = Millis(800);
 /// Time without a byte of a peer's response.
 const SILENCE_TIMEOUT: Millis = Millis(500);
-/// The timeouts are short, as there are other peers to ask.
+/// The timeouts are short, as other peers have the changes too.
 const CONNECTION_TIMEOUTS: Timeouts = Timeouts { connect: Millis(300), silence: Millis(1_500) };
 const MAX_BODY_BYTES: u64 = 8 * 1024 * 1024;
 /// Changes of this size take a while on a slow link: few are sent at a time, and they are logged.
@@ -103,7 +103,7 @@
 
 /// Whether the changes are likely to come from a peer that needs no full listing.
 fn is_expected_elsewhere(core: &Core, newer: &NewerRevision) -> bool {
-    let limit = core.staleness_limits(newer.feed).ask;
+    let limit = core.staleness_limits(newer.feed).request;
     let is_recent = core.confirmed_age(newer.feed).is_some_and(|age| age < limit);
     core.catalogue.borrow().is_listed(newer.feed) && newer.full && is_recent
 }
--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -150,7 +150,7 @@
             changes: settings.listen.changes,
             heartbeats: settings.listen.heartbeats,
             incarnation: now.0,
-            beat: 0,
+            counter: 0,
             ready: false,
             millicores: settings.millicores,
             link_mbps: settings.link_mbps,
@@ -206,12 +206,12 @@
         Rc::clone(&self.table.borrow())
     }
 
-    /// Whether the process was asked to stop.
+    /// Whether the process was told to stop.
     pub fn is_stopping(&self) -> bool {
         *self.phase.borrow() != Phase::Serving
     }
 
-    /// When all requests must be complete, if the process was asked to stop.
+    /// When all requests must be complete, if the process was told to stop.
     pub fn stop_deadline(&self) -> Option<Millis> {
         self.stop_deadline.get()
     }
@@ -235,7 +235,7 @@
         let (live, now) = (self.live_count(), self.clock.now());
         if convergence.judge(live, now) {
             log::info!(
-                target: "belief", live = live, told = convergence.told(),
+                target: "belief", live = live, reported = convergence.reported(),
                 up_ms = (now - self.started).0;
                 "the deployment's VMs are known; answering look-ups"
             );
--- a/components/gateway/src/follow.rs
+++ b/components/gateway/src/follow.rs
@@ -115,7 +115,7 @@
             log::info!(
                 target: "store", feed = batch.feed.as_str(), revision = batch.revision,
                 known = self.known;
-                "store's response is older than what was known before; asking again"
+                "store's response is older than what was known before; requesting it again"
             );
         }
         core.apply(batch, &Origin::Store);
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -35,8 +35,8 @@
 /// Up to this number of live peers, every round also sends to the seeds; with more, every eighth
 /// does on average.
 const FEW_PEERS: usize = 1;
-/// Time between two questions to readers. An answer comes within about half of it.
-const ASK_INTERVAL: Millis = Millis(250);
+/// Time between two requests to readers. A heartbeat in return comes within about half of it.
+const REQUEST_INTERVAL: Millis = Millis(250);
 const MAX_DATAGRAM_BYTES: usize = 4_096;
 
 /// A heartbeat.
@@ -45,7 +45,7 @@
     /// The sender, then some of its peers.
     members: Vec<Member>,
     /// Summaries of more peers, since in a large deployment every VM must be refreshed within 3 s.
-    beats: Vec<Summary>,
+    summaries: Vec<Summary>,
     /// The newest revision of each feed that the sender has, or 0.
     revisions: [u64; 2],
     /// Time since the store confirmed that the sender's copy of each feed was up to date, in ms.
@@ -59,13 +59,13 @@
 struct Extension {
     /// The sender knows all changes of each feed after these revisions.
     complete_after: [u64; 2],
-    /// Whether the sender asks for a heartbeat in return.
-    asks: bool,
+    /// Whether the sender requests a heartbeat in return.
+    requests_reply: bool,
 }
 
 impl Extension {
     /// What is assumed of a sender that doesn't say.
-    const NONE: Extension = Extension { complete_after: [u64::MAX; 2], asks: false };
+    const NONE: Extension = Extension { complete_after: [u64::MAX; 2], requests_reply: false };
 }
 
 /// What follows an [`Extension`] in the same datagram. Without it, a heartbeat can't be dated, and
@@ -83,13 +83,13 @@
 struct View {
     /// The live VMs that the sender knows, including itself, once it has converged.
     live: Option<usize>,
-    /// Whether the sender asks for all VMs that the receiver knows.
-    asks_members: bool,
+    /// Whether the sender requests all VMs that the receiver knows.
+    requests_members: bool,
 }
 
 impl View {
     /// What is assumed of a sender that doesn't say.
-    const NONE: View = View { live: None, asks_members: false };
+    const NONE: View = View { live: None, requests_members: false };
 }
 
 /// A revision that a peer has and this VM lacks.
@@ -146,12 +146,13 @@
     }
 }
 
-/// Asks a reader of the region for a heartbeat whenever a copy of this VM has not been confirmed
-/// for a while, until the process ends: heartbeats go to random VMs, and may leave one out for
-/// several rounds.
-pub async fn ask_readers(core: Rc<Core>, socket: Rc<UdpSocket>) {
+/// Requests a heartbeat from a reader of the region whenever a copy of this VM has not been
+/// confirmed for a while, until the process ends: heartbeats go to random VMs, and may leave one
+/// out for several rounds.
+pub async fn request_from_readers(core: Rc<Core>, socket: Rc<UdpSocket>) {
     loop {
-        let due = Feed::ALL.map(|feed| core.time_until_age(feed, core.staleness_limits(feed).ask));
+        let due =
+            Feed::ALL.map(|feed| core.time_until_age(feed, core.staleness_limits(feed).request));
         let due = due.into_iter().min().unwrap_or_default();
         if due > Millis::ZERO {
             core.clock.sleep(due).await;
@@ -161,7 +162,7 @@
         if is_follower && let Some(reader) = core.reader_addresses().choose(&mut rand::rng()) {
             send_to(&core, &socket, &encode(&core, Vec::new(), &[], true), *reader).await;
         }
-        core.clock.sleep(ASK_INTERVAL).await;
+        core.clock.sleep(REQUEST_INTERVAL).await;
     }
 }
 
@@ -170,17 +171,18 @@
     send_with(core, socket, bytes, target, false).await;
 }
 
-/// Sends an encoded heartbeat; `asks_members` is whether `target` shall send all VMs that it knows.
+/// Sends an encoded heartbeat; `requests_members` is whether `target` shall send all VMs that it
+/// knows.
 async fn send_with(
     core: &Core,
     socket: &UdpSocket,
     bytes: &[u8],
     target: SocketAddr,
-    asks_members: bool,
+    requests_members: bool,
 ) {
     let mut datagram = bytes.to_vec();
     let live = core.has_converged().then(|| core.live_count());
-    let view = View { live, asks_members };
+    let view = View { live, requests_members };
     let timing = {
         let (echoes, now) = (core.echoes.borrow(), core.clock.now());
         Timing { stamp: echoes.stamp(now), echo: echoes.echo(target, now) }
@@ -229,7 +231,7 @@
                     send_members(&core, &socket, joined).await;
                 }
                 if let Some(sender) = sender {
-                    if view.asks_members && joined.is_none() {
+                    if view.requests_members && joined.is_none() {
                         send_members(&core, &socket, sender.heartbeats).await;
                     }
                     if lacks_members(&core, view) {
@@ -237,7 +239,7 @@
                         send_with(&core, &socket, &bytes, sender.heartbeats, true).await;
                     }
                     let known = core.members.borrow().superseding(&sender).cloned();
-                    if extension.asks || known.is_some() {
+                    if extension.requests_reply || known.is_some() {
                         let bytes = encode(&core, known.into_iter().collect(), &[], false);
                         send_to(&core, &socket, &bytes, sender.heartbeats).await;
                     }
@@ -253,14 +255,14 @@
     }
 }
 
-/// Whether a peer with the given view knows many VMs that this one doesn't know, and is to be asked
-/// for them now.
+/// Whether a peer with the given view knows many VMs that this one doesn't know, and is to be sent
+/// a request for them now.
 fn lacks_members(core: &Core, view: View) -> bool {
     let (live, now) = (core.live_count(), core.clock.now());
     view.live.is_some_and(|peers| core.convergence.borrow_mut().record_peer(peers, live, now))
 }
 
-/// Sends all live peers to a VM that has just joined or asks for them, so that it knows the whole
+/// Sends all live peers to a VM that has just joined or requests them, so that it knows the whole
 /// deployment at once.
 async fn send_members(core: &Core, socket: &UdpSocket, target: SocketAddr) {
     let alive: Vec<Member> = core.members.borrow().alive(core.clock.now()).cloned().collect();
@@ -303,7 +305,7 @@
     if let Some((start, end)) = heartbeat.contact {
         core.merge_store_uptime(Uptime { start: now - Millis(start), end: now - Millis(end) });
     }
-    for summary in heartbeat.beats {
+    for summary in heartbeat.summaries {
         if let Some(vm) = core.members.borrow_mut().update_summary(summary, now) {
             log::info!(target: "belief", vm = vm.as_ref(); "entry VM alive");
         }
@@ -382,12 +384,12 @@
     }
 }
 
-/// Encodes a heartbeat with this VM, `peers` in full and `summaries`; `asks` is whether the
-/// receiver shall send one in return.
-fn encode(core: &Core, peers: Vec<Member>, summaries: &[Summary], asks: bool) -> Vec<u8> {
+/// Encodes a heartbeat with this VM, `peers` in full and `summaries`; `requests_reply` is whether
+/// the receiver shall send one in return.
+fn encode(core: &Core, peers: Vec<Member>, summaries: &[Summary], requests_reply: bool) -> Vec<u8> {
     let own = {
         let mut own = core.own_member.borrow_mut();
-        own.beat += 1;
+        own.counter += 1;
         own.ready = core.is_ready();
         own.clone()
     };
@@ -400,13 +402,13 @@
     let ages = Feed::ALL.map(|feed| core.confirmed_age(feed).map(|age| age.0));
     let now = core.clock.now();
     let contact = core.store_uptime.get().map(|known| ((now - known.start).0, (now - known.end).0));
-    let beats = summaries.to_vec();
-    let heartbeat = Heartbeat { members, beats, revisions, ages, contact };
+    let summaries = summaries.to_vec();
+    let heartbeat = Heartbeat { members, summaries, revisions, ages, contact };
     let complete_after = Feed::ALL.map(|feed| match catalogue.is_listed(feed) {
         true => catalogue.complete_after(feed),
         false => u64::MAX,
     });
-    let extension = Extension { complete_after, asks };
+    let extension = Extension { complete_after, requests_reply };
     let mut bytes = Vec::new();
     let encoded = rmp_serde::encode::write(&mut bytes, &heartbeat)
         .and_then(|()| rmp_serde::encode::write(&mut bytes, &extension));
--- a/components/gateway/src/identity.rs
+++ b/components/gateway/src/identity.rs
@@ -17,8 +17,8 @@
 /// The part of the time left that a check may take, so that another upstream can be used.
 const TIME_DIVISOR: u64 = 2;
 
-/// Asks the upstream at the other end of `connection` for its id; returns whether a request may be
-/// sent on the connection afterwards.
+/// Requests the id of the upstream at the other end of `connection`; returns whether a request may
+/// be sent on the connection afterwards.
 ///
 /// # Errors
 ///
@@ -33,8 +33,8 @@
 ) -> Result<bool, Cause> {
     let sent = core.clock.now();
     let limit = Millis((job.deadline - sent).0 / TIME_DIVISOR);
-    let asking = ask(service, endpoint, connection);
-    let response = tokio::time::timeout(limit.duration(), asking).await;
+    let exchange = exchange(service, endpoint, connection);
+    let response = tokio::time::timeout(limit.duration(), exchange).await;
     let response = response.ok().flatten().ok_or(Cause::Unidentified)?;
     let names = core.protocol.names();
     let Some(id) = response.headers.text(names.instance) else {
@@ -53,7 +53,7 @@
 }
 
 /// Sends a health check and reads the response; `None` if there is none.
-async fn ask(
+async fn exchange(
     service: &Service,
     endpoint: &Endpoint,
     connection: &mut Connection,
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -80,7 +80,7 @@
         spawn(connection::close_unusable(Rc::clone(&core)));
         spawn(core::expire(Rc::clone(&core)));
         spawn(heartbeat::send(Rc::clone(&core), Rc::clone(&heartbeats)));
-        spawn(heartbeat::ask_readers(Rc::clone(&core), Rc::clone(&heartbeats)));
+        spawn(heartbeat::request_from_readers(Rc::clone(&core), Rc::clone(&heartbeats)));
         let (puller, shared) = (Rc::new(Puller::default()), Rc::clone(&core));
         let on_newer = move |newer| puller.pull(&shared, newer);
         spawn(heartbeat::receive(Rc::clone(&core), Rc::clone(&heartbeats), on_newer));
--- a/components/gateway/src/protocol.rs
+++ b/components/gateway/src/protocol.rs
@@ -58,7 +58,7 @@
     /// Whether the value of the leaving header states that the upstream leaves.
     fn parse_leaving(&self, value: &str) -> bool;
 
-    /// Parses the value of the header that asks for a pause, or `None` if it is malformed.
+    /// Parses the value of the header that requests a pause, or `None` if it is malformed.
     fn parse_pause(&self, value: &str) -> Option<Millis>;
 }
 
--- a/components/gateway/src/statement.rs
+++ b/components/gateway/src/statement.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use steering::routing::Upstream;
 
-/// The longest pause that an upstream may ask for; longer ones are shortened to it.
+/// The longest pause that an upstream may request; longer ones are shortened to it.
 const MAX_PAUSE: Millis = Millis::from_secs(600);
 /// How long a statement is kept after the upstream's entry was removed. An entry may lapse and be
 /// renewed by the same incarnation.
--- a/components/gateway/tests/ages.rs
+++ b/components/gateway/tests/ages.rs
@@ -20,7 +20,7 @@
 const CONFIGURATION_BOUND: Millis = Millis(2_000);
 /// Polls wait for half of it, so that the store responds to a VM all the time.
 const SHORT_SETTLING: Millis = Millis(1_000);
-/// Calls to the store in a second of two VMs, one of which asks for newer changes after a pause of
+/// Calls to the store in a second of two VMs, one of which requests newer changes after a pause of
 /// 100 ms each time, with two calls.
 const MAX_CALLS: usize = 30;
 /// An age of two rounded times may be too small by this.
--- a/components/gateway/tests/lookups.rs
+++ b/components/gateway/tests/lookups.rs
@@ -56,7 +56,7 @@
 }
 
 /// Guards against callers without any entry VM: after all VMs were killed, none of them knows the
-/// deployment, and each would wait to be told.
+/// deployment, and each would wait for the others.
 #[tokio::test]
 async fn vms_that_start_at_the_same_time_answer_soon() {
     run_test(async |world| {
--- a/components/gateway/tests/odd_entries.rs
+++ b/components/gateway/tests/odd_entries.rs
@@ -195,8 +195,12 @@
         let (_upstream, vm) = world.serving().await;
         let mut probe = Probe::open(&world, "p").await;
         let (max, none) = (u64::MAX, [None; 2]);
-        let own =
-            |incarnation, beat| Member { vm: "a".into(), incarnation, beat, ..probe.member() };
+        let own = |incarnation, counter| Member {
+            vm: "a".into(),
+            incarnation,
+            counter,
+            ..probe.member()
+        };
         let odd = Member {
             heartbeats: address("0.0.0.0:0"),
             changes: address("0.0.0.0:0"),
@@ -206,11 +210,11 @@
             millicores: u32::MAX,
             link_mbps: u32::MAX,
             incarnation: max,
-            beat: max,
+            counter: max,
             ready: true,
             pressed: true,
         };
-        let summary = Summary { key: 0, beat: max, ready: true, pressed: true };
+        let summary = Summary { key: 0, counter: max, ready: true, pressed: true };
         let heartbeats: [Heartbeat; 7] = [
             (vec![], vec![], [max; 2], [Some(max); 2], Some((max, max))),
             (vec![probe.member(), own(max, max)], vec![summary; 100], [1; 2], none, None),
@@ -249,7 +253,7 @@
     .await;
 }
 
-/// Serves `bodies` in turn to a VM that asks for changes.
+/// Serves `bodies` in turn to a VM that requests changes.
 async fn serve_changes(at: SocketAddr, bodies: Vec<Vec<u8>>) {
     let listener = TcpListener::bind(at).await.unwrap();
     tokio::task::spawn_local(async move {
--- a/components/gateway/tests/statements.rs
+++ b/components/gateway/tests/statements.rs
@@ -166,7 +166,7 @@
     .await;
 }
 
-/// Guards against requests to an upstream that asked for a pause, whether or not it states that it
+/// Guards against requests to an upstream that requested a pause, whether or not it states that it
 /// did not execute the request with which it came.
 #[tokio::test]
 async fn an_upstream_that_asks_for_a_pause_gets_no_requests_until_its_end() {
@@ -185,7 +185,7 @@
     }
 }
 
-/// Guards against pauses that nobody asked for: with other statuses the header is for callers, and
+/// Guards against pauses that nobody requested: with other statuses the header is for callers, and
 /// a malformed one says nothing.
 #[tokio::test]
 async fn a_pause_is_taken_only_from_a_well_formed_503() {
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -199,7 +199,7 @@
         changes: SocketAddr::new(vm.ip, CHANGES),
         heartbeats: vm.heartbeats(),
         incarnation: 1,
-        beat: 1,
+        counter: 1,
         ready,
         millicores: 1_000,
         link_mbps: 1_000,
--- a/components/gateway/tests/world/probe.rs
+++ b/components/gateway/tests/world/probe.rs
@@ -9,10 +9,11 @@
 
 /// A heartbeat as it is sent: members, summaries, newest revisions, ages, the store's uptime.
 pub type Heartbeat = (Vec<Member>, Vec<Summary>, [u64; 2], [Option<u64>; 2], Option<(u64, u64)>);
-/// Its extension: the revisions after which the sender knows all changes, whether it asks.
+/// Its extension: the revisions after which the sender knows all changes, whether it requests a
+/// reply.
 pub type Extension = ([u64; 2], bool);
 
-/// How long the probe waits for the answer to a question.
+/// How long the probe waits for the reply to a request.
 const ANSWER_TIMEOUT: Millis = Millis(500);
 
 pub struct Probe {
@@ -30,7 +31,7 @@
             changes: address,
             heartbeats: address,
             incarnation: 1,
-            beat: 0,
+            counter: 0,
             ready: false,
             millicores: 100,
             link_mbps: 10,
@@ -39,7 +40,7 @@
         Probe { socket: UdpSocket::bind(address).await.unwrap(), member }
     }
 
-    /// Where the probe gets heartbeats, and is asked for changes.
+    /// Where the probe gets heartbeats, and requests for changes.
     pub fn address(&self) -> SocketAddr {
         self.member.changes
     }
@@ -52,13 +53,13 @@
 
     /// Tells the VM of other VMs, as if the probe had heard of them just now.
     pub async fn introduce(&mut self, vm: SocketAddr, members: &[Member]) {
-        self.member.beat += 1;
+        self.member.counter += 1;
         let members = std::iter::once(&self.member).chain(members).cloned().collect();
         let heartbeat: Heartbeat = (members, Vec::new(), [0; 2], [None; 2], None);
         self.socket.send_to(&rmp_serde::to_vec(&heartbeat).unwrap(), vm).await.unwrap();
     }
 
-    /// Asks the VM for a heartbeat; returns the age of its copy of `feed`.
+    /// Requests a heartbeat from the VM; returns the age of its copy of `feed`.
     pub async fn age(&mut self, vm: SocketAddr, feed: Feed) -> Option<Millis> {
         let mut buffer = [0; 4_096];
         while self.socket.try_recv(&mut buffer).is_ok() {}
@@ -86,10 +87,16 @@
         self.socket.send_to(bytes, vm).await.unwrap();
     }
 
-    async fn send(&mut self, vm: SocketAddr, newest: [u64; 2], ages: [Option<u64>; 2], asks: bool) {
-        self.member.beat += 1;
+    async fn send(
+        &mut self,
+        vm: SocketAddr,
+        newest: [u64; 2],
+        ages: [Option<u64>; 2],
+        requests_reply: bool,
+    ) {
+        self.member.counter += 1;
         let heartbeat: Heartbeat = (vec![self.member.clone()], Vec::new(), newest, ages, None);
-        let extension: Extension = ([0; 2], asks);
+        let extension: Extension = ([0; 2], requests_reply);
         let mut bytes = rmp_serde::to_vec(&heartbeat).unwrap();
         bytes.extend(rmp_serde::to_vec(&extension).unwrap());
         self.socket.send_to(&bytes, vm).await.unwrap();
--- a/components/steering/src/convergence.rs
+++ b/components/steering/src/convergence.rs
@@ -8,17 +8,17 @@
 /// How long a VM waits for a peer that was there before. If all VMs have started at the same time
 /// there is none, and within two rounds of heartbeats they have heard of each other.
 const LONE_SPAN: Millis = Millis(1_000);
-/// Time after which a VM goes by what it knows in any case: what the peers told it includes VMs
+/// Time after which a VM goes by what it knows in any case: what peers reported includes VMs
 /// that have died since.
 const MAX_SPAN: Millis = Millis(3_000);
 /// The part of the live VMs that a peer knows from which a view counts as whole; datagrams may be
 /// lost.
 const WHOLE_FRACTION: f64 = 0.9;
-/// Time between two questions for all VMs that a peer knows, until the view has converged.
-const ASK_INTERVAL: Millis = Millis(250);
+/// Time between two requests for all VMs that a peer knows, until the view has converged.
+const REQUEST_INTERVAL: Millis = Millis(250);
 /// The same for a view that has converged. After the death of many VMs, those that notice it first
 /// know fewer than the others for a while, and the answers to them have nothing new.
-const CONVERGED_ASK_INTERVAL: Millis = Millis(3_000);
+const CONVERGED_REQUEST_INTERVAL: Millis = Millis(3_000);
 
 /// A VM's view of the deployment's VMs, compared with those of its peers.
 #[derive(Debug)]
@@ -26,23 +26,23 @@
     started: Millis,
     converged: bool,
     /// The most live VMs that a converged peer has known since the start.
-    told: usize,
-    asked: Option<Millis>,
+    reported: usize,
+    requested: Option<Millis>,
 }
 
 impl Convergence {
     /// The view of a VM that started at `started`.
     pub fn new(started: Millis) -> Convergence {
-        Convergence { started, converged: false, told: 0, asked: None }
+        Convergence { started, converged: false, reported: 0, requested: None }
     }
 
     /// Whether the view of a VM that knows `live` VMs, including itself, has converged. It stays
     /// so: later changes reach the VM like any other.
     pub fn judge(&mut self, live: usize, now: Millis) -> bool {
         let up = now - self.started;
-        self.converged |= match self.told {
+        self.converged |= match self.reported {
             0 => up >= LONE_SPAN,
-            told => is_whole(live, told) || up >= MAX_SPAN,
+            reported => is_whole(live, reported) || up >= MAX_SPAN,
         };
         self.converged
     }
@@ -53,25 +53,25 @@
     }
 
     /// The most live VMs that a converged peer has known.
-    pub fn told(&self) -> usize {
-        self.told
+    pub fn reported(&self) -> usize {
+        self.reported
     }
 
     /// Records that a converged peer knows `peers` live VMs while this one knows `live`; returns
-    /// whether to ask that peer for all of them.
+    /// whether to request all of them from that peer.
     pub fn record_peer(&mut self, peers: usize, live: usize, now: Millis) -> bool {
-        self.told = self.told.max(peers);
-        let interval = if self.converged { CONVERGED_ASK_INTERVAL } else { ASK_INTERVAL };
-        let is_due = self.asked.is_none_or(|asked| now >= asked + interval);
-        let asks = is_due && !is_whole(live, peers);
-        if asks {
-            self.asked = Some(now);
+        self.reported = self.reported.max(peers);
+        let interval = if self.converged { CONVERGED_REQUEST_INTERVAL } else { REQUEST_INTERVAL };
+        let is_due = self.requested.is_none_or(|requested| now >= requested + interval);
+        let requests = is_due && !is_whole(live, peers);
+        if requests {
+            self.requested = Some(now);
         }
-        asks
+        requests
     }
 }
 
-/// Whether `live` VMs are about as many as the `told` ones that a peer knows.
-fn is_whole(live: usize, told: usize) -> bool {
-    live as f64 >= told as f64 * WHOLE_FRACTION
+/// Whether `live` VMs are about as many as the `reported` ones that a peer knows.
+fn is_whole(live: usize, reported: usize) -> bool {
+    live as f64 >= reported as f64 * WHOLE_FRACTION
 }
--- a/components/steering/src/membership.rs
+++ b/components/steering/src/membership.rs
@@ -29,7 +29,7 @@
     /// Increases at each start of the VM; the time of its start, unless peers know a later one.
     pub incarnation: u64,
     /// Heartbeat counter.
-    pub beat: u64,
+    pub counter: u64,
     /// Whether look-ups may return it.
     pub ready: bool,
     /// CPU share, in thousandths of a core.
@@ -46,7 +46,7 @@
     /// Hash of the VM's name and incarnation.
     pub key: u32,
     /// Heartbeat counter.
-    pub beat: u64,
+    pub counter: u64,
     /// Whether look-ups may return it.
     pub ready: bool,
     /// Whether it is under CPU pressure.
@@ -60,7 +60,7 @@
     }
 
     fn summary(&self) -> Summary {
-        Summary { key: self.key(), beat: self.beat, ready: self.ready, pressed: self.pressed }
+        Summary { key: self.key(), counter: self.counter, ready: self.ready, pressed: self.pressed }
     }
 }
 
@@ -101,8 +101,8 @@
             self.known.insert(Arc::clone(&member.vm), Known { member, advanced: now });
             return true;
         };
-        let position = (known.member.incarnation, known.member.beat);
-        if (member.incarnation, member.beat) <= position {
+        let position = (known.member.incarnation, known.member.counter);
+        if (member.incarnation, member.counter) <= position {
             return false;
         }
         let is_new = member.incarnation > known.member.incarnation;
@@ -124,12 +124,12 @@
     /// Summaries of a VM whose description has not arrived are ignored.
     pub fn update_summary(&mut self, summary: Summary, now: Millis) -> Option<Arc<str>> {
         let known = self.known.get_mut(self.names.get(&summary.key)?)?;
-        if summary.beat <= known.member.beat {
+        if summary.counter <= known.member.counter {
             return None;
         }
         let was_dead = known.advanced + self.dead_after <= now;
         known.advanced = now;
-        known.member.beat = summary.beat;
+        known.member.counter = summary.counter;
         known.member.ready = summary.ready;
         known.member.pressed = summary.pressed;
         was_dead.then(|| Arc::clone(&known.member.vm))
--- a/components/steering/src/readers.rs
+++ b/components/steering/src/readers.rs
@@ -15,8 +15,8 @@
 /// The longest time that a request for changes waits.
 const MAX_POLL_WAIT: Millis = Millis(2_000);
 
-/// The shortest wait of a reader's request, as a divisor of the age for questions; it limits the
-/// calls when the copy isn't confirmed.
+/// The shortest wait of a reader's request, as a divisor of the age for requests to readers; it
+/// limits the calls when the copy isn't confirmed.
 const MIN_WAIT_DIVISOR: u64 = 4;
 
 /// How a VM gets the changes of a feed.
@@ -67,13 +67,13 @@
 
 /// How long a reader's request waits for changes, if its copy was confirmed `age` ago. A response
 /// confirms the copies of the whole region, so in a large fleet it must come before they are old
-/// enough for questions. Everywhere, a connection that went silent must have been replaced within
-/// the settling time.
+/// enough for requests to readers. Everywhere, a connection that went silent must have been
+/// replaced within the settling time.
 pub fn poll_wait(fleet: usize, age: Option<Millis>, limits: Limits, settling: Millis) -> Millis {
     let wait = MAX_POLL_WAIT.min(Millis(settling.0 / 2));
     if fleet <= SMALL_FLEET {
         return wait;
     }
-    let shortest = Millis(limits.ask.0 / MIN_WAIT_DIVISOR);
-    wait.min(limits.ask - age.unwrap_or_default()).max(shortest)
+    let shortest = Millis(limits.request.0 / MIN_WAIT_DIVISOR);
+    wait.min(limits.request - age.unwrap_or_default()).max(shortest)
 }
--- a/components/steering/src/staleness.rs
+++ b/components/steering/src/staleness.rs
@@ -7,8 +7,8 @@
 
 use clock::Millis;
 
-/// The part of the bound, as a divisor, after which a VM asks a reader.
-const ASK_DIVISOR: u64 = 4;
+/// The part of the bound, as a divisor, after which a VM requests a heartbeat from a reader.
+const REQUEST_DIVISOR: u64 = 4;
 /// The part of the bound, as a divisor, after which a VM reads from the store. The rest is for the
 /// read, for a retry on a new connection, and for requests on their way to an upstream.
 const READ_DIVISOR: u64 = 2;
@@ -16,8 +16,8 @@
 /// The ages of a copy at which a VM acts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// From this age on, the VM asks a reader of its region for a heartbeat.
-    pub ask: Millis,
+    /// From this age on, the VM requests a heartbeat from a reader of its region.
+    pub request: Millis,
     /// From this age on, the VM reads from the store.
     pub read: Millis,
     /// The longest time for a transfer of changes that makes progress. One that takes longer is
@@ -29,7 +29,7 @@
     /// The limits that keep changes in force within `bound`.
     pub fn new(bound: Millis) -> Limits {
         Limits {
-            ask: Millis(bound.0 / ASK_DIVISOR),
+            request: Millis(bound.0 / REQUEST_DIVISOR),
             read: Millis(bound.0 / READ_DIVISOR),
             transfer: bound,
         }
--- a/components/steering/tests/convergence.rs
+++ b/components/steering/tests/convergence.rs
@@ -66,12 +66,12 @@
 }
 
 /// Guards against links full of heartbeats: after the death of many VMs, those that had noticed it
-/// asked each peer that had not for all VMs that it knew, and learnt nothing.
+/// requested from each peer that had not all VMs that it knew, and learnt nothing.
 #[test]
 fn a_vm_that_has_converged_asks_at_long_intervals() {
     let mut view = Convergence::new(START);
     assert!(view.judge(90, after(1_000)));
-    let asked = (0..30).filter(|at| view.record_peer(90, 60, after(10_000 + at * 100))).count();
-    assert_eq!(asked, 1);
+    let requested = (0..30).filter(|at| view.record_peer(90, 60, after(10_000 + at * 100))).count();
+    assert_eq!(requested, 1);
     assert!(view.record_peer(90, 60, after(13_000)));
 }
--- a/components/steering/tests/entry_selection.rs
+++ b/components/steering/tests/entry_selection.rs
@@ -14,7 +14,7 @@
         changes: address,
         heartbeats: address,
         incarnation: 1,
-        beat: 1,
+        counter: 1,
         ready: true,
         millicores,
         link_mbps,
--- a/components/steering/tests/fleetwide.rs
+++ b/components/steering/tests/fleetwide.rs
@@ -114,7 +114,7 @@
     }
 }
 
-fn member(vm: &str, incarnation: u64, beat: u64) -> Member {
+fn member(vm: &str, incarnation: u64, counter: u64) -> Member {
     let address = "10.0.0.1:80".parse().unwrap();
     Member {
         vm: vm.into(),
@@ -123,7 +123,7 @@
         changes: address,
         heartbeats: address,
         incarnation,
-        beat,
+        counter,
         ready: true,
         millicores: 1_000,
         link_mbps: 1_000,
@@ -233,7 +233,7 @@
     assert_eq!(members.update_summary(summary, Millis(4_000)).as_deref(), Some("a"));
     assert_eq!(members.alive(Millis(6_500)).count(), 1);
     members.update(member("a", 2, 1), Millis(7_500));
-    members.update_summary(Summary { beat: 9, ..summary }, Millis(10_400));
+    members.update_summary(Summary { counter: 9, ..summary }, Millis(10_400));
     assert_eq!(
         members.alive(Millis(10_600)).count(),
         0,
--- a/components/steering/tests/readers.rs
+++ b/components/steering/tests/readers.rs
@@ -4,7 +4,8 @@
 use steering::readers::{Role, poll_wait, role, select};
 use steering::staleness::Limits;
 
-const LIMITS: Limits = Limits { ask: Millis(1_000), read: Millis(2_000), transfer: Millis(4_000) };
+const LIMITS: Limits =
+    Limits { request: Millis(1_000), read: Millis(2_000), transfer: Millis(4_000) };
 
 /// The VMs of a region that read from the store if their copies have the given age.
 fn reading(names: &[String], fleet: usize, age: Option<Millis>) -> Vec<&str> {
@@ -47,23 +48,23 @@
 }
 
 #[test]
-fn the_vms_that_are_asked_are_those_that_read() {
+fn the_vms_that_get_requests_are_those_that_read() {
     let names = region(24);
-    let mut asked = select(names.iter().map(String::as_str));
+    let mut selected = select(names.iter().map(String::as_str));
     let mut reading = reading(&names, 72, Some(Millis::ZERO));
-    asked.sort_unstable();
+    selected.sort_unstable();
     reading.sort_unstable();
-    assert_eq!(asked, reading);
+    assert_eq!(selected, reading);
 }
 
 #[test]
-fn a_poll_ends_before_its_region_asks_and_before_a_silent_connection_may_show() {
+fn a_poll_ends_before_its_region_sends_requests_and_before_a_silent_connection_may_show() {
     let settling = Millis(4_000);
     let wait = |fleet, age, settling| poll_wait(fleet, Some(age), LIMITS, settling);
-    assert_eq!(wait(72, Millis::ZERO, settling), LIMITS.ask);
-    assert_eq!(wait(72, Millis(300), settling), LIMITS.ask - Millis(300));
+    assert_eq!(wait(72, Millis::ZERO, settling), LIMITS.request);
+    assert_eq!(wait(72, Millis(300), settling), LIMITS.request - Millis(300));
     assert_eq!(wait(72, LIMITS.read, settling), Millis(250));
-    assert_eq!(poll_wait(72, None, LIMITS, settling), LIMITS.ask);
+    assert_eq!(poll_wait(72, None, LIMITS, settling), LIMITS.request);
     for age in [Millis::ZERO, LIMITS.read] {
         assert_eq!(wait(9, age, settling), Millis(2_000));
         assert_eq!(wait(9, age, Millis(3_000)), Millis(1_500));
--- a/components/steering/tests/staleness_fleet.rs
+++ b/components/steering/tests/staleness_fleet.rs
@@ -19,7 +19,7 @@
 const SILENT_REQUEST: u64 = 500 + REQUEST;
 const HEARTBEAT_INTERVAL: u64 = 500;
 const HEARTBEAT_FAN_OUT: usize = 3;
-const ASK_INTERVAL: u64 = 250;
+const REQUEST_INTERVAL: u64 = 250;
 const SETTLING: Millis = Millis(4_000);
 const REGIONS: usize = 3;
 const END: u64 = 30_000;
@@ -53,12 +53,12 @@
         made: u64,
     },
     Round(usize),
-    Ask(usize),
+    Request(usize),
     Heartbeat {
         to: usize,
         from: usize,
         claim: Claim,
-        asks: bool,
+        requests_reply: bool,
         stamp: Stamp,
         echo: Option<Echo>,
     },
@@ -101,7 +101,7 @@
             slowest: 0,
         };
         for vm in 0..size {
-            for event in [Event::Check(vm), Event::Round(vm), Event::Ask(vm)] {
+            for event in [Event::Check(vm), Event::Round(vm), Event::Request(vm)] {
                 let at = fleet.random.random_range(0..HEARTBEAT_INTERVAL);
                 fleet.add(at, event);
             }
@@ -150,10 +150,10 @@
                 }
                 self.add(now + HEARTBEAT_INTERVAL, Event::Round(vm));
             }
-            Event::Ask(vm) => {
-                let due = self.vms[vm].confirmed + self.limits.ask.0;
+            Event::Request(vm) => {
+                let due = self.vms[vm].confirmed + self.limits.request.0;
                 if due > now {
-                    return self.add(due, Event::Ask(vm));
+                    return self.add(due, Event::Request(vm));
                 }
                 let readers = self.readers(self.vms[vm].region);
                 let reader = readers.choose(&mut self.random);
@@ -161,9 +161,9 @@
                 if let Some(to) = to.filter(|to| *to != vm) {
                     self.send(vm, to, true, now);
                 }
-                self.add(now + ASK_INTERVAL, Event::Ask(vm));
+                self.add(now + REQUEST_INTERVAL, Event::Request(vm));
             }
-            Event::Heartbeat { to, from, claim, asks, stamp, echo } => {
+            Event::Heartbeat { to, from, claim, requests_reply, stamp, echo } => {
                 let echoes = &mut self.vms[to].echoes;
                 echoes.record(address(from), stamp, Millis(now));
                 let made = echo.and_then(|echo| echoes.made_at(echo));
@@ -179,7 +179,7 @@
                     }
                     Standing::Unknown => {}
                 }
-                if asks {
+                if requests_reply {
                     self.send(to, from, false, now);
                 }
             }
@@ -252,7 +252,7 @@
         self.vms[vm].confirmed = self.vms[vm].confirmed.max(when);
     }
 
-    fn send(&mut self, from: usize, to: usize, asks: bool, now: u64) {
+    fn send(&mut self, from: usize, to: usize, requests_reply: bool, now: u64) {
         let is_lost = self.random.random_ratio(1, 50);
         if is_lost || self.vms[from].cut || self.vms[to].cut {
             return;
@@ -262,7 +262,7 @@
         let claim = Claim { newest: sender.revision, complete_after: 0, age };
         let stamp = sender.echoes.stamp(Millis(now));
         let echo = sender.echoes.echo(address(to), Millis(now));
-        self.add(now + LATENCY, Event::Heartbeat { to, from, claim, asks, stamp, echo });
+        self.add(now + LATENCY, Event::Heartbeat { to, from, claim, requests_reply, stamp, echo });
     }
 
     /// The readers of a region, which stay selected for a while after they were cut off.
