Don't eject an upstream whose check names nobody, and limit the time of checks

A full upstream refuses checks like any other request, without its name.

Such a check is no failure now. One without a response within 500 ms beyond the network latency is, with a reason of its own. An upstream that closes a kept connection during a check is tried on a new one, and a body that can't be skipped no longer loses the name in the head.

a_check_without_a_name_in_time_does_not_eject_the_upstream, on the code before: left: (0, ["/read/1", "/read/1", "/read/1", "/read/1"]), right: (4, []) (the four reads went to the other region). The 12 tests of gateway/tests/regions pass.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -24,7 +24,7 @@
 pub const MAX_SKIPPED_BYTES: u64 = 256 * 1024;
 /// Time for these bytes. A response to an earlier request is complete, or nearly so, when the next
 /// one is read.
-const SKIP_TIMEOUT: Millis = Millis(250);
+pub const SKIP_TIMEOUT: Millis = Millis(250);
 /// Time to wait for the response beyond the deadline: an upstream that rejects the request at the
 /// deadline states whether it was executed.
 pub const DEADLINE_MARGIN: Millis = Millis(40);
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -52,9 +52,14 @@
         self.0.is_empty() || (!id.is_empty() && !self.0.contains(&xxh3_64(id)))
     }
 
+    /// Whether no request was sent.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// The value of the log key `connection`: whether a request was sent before.
     pub fn origin(&self) -> &'static str {
-        if self.0.is_empty() { "new" } else { "kept" }
+        if self.is_empty() { "new" } else { "kept" }
     }
 
     /// Records a request with the id `id`.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -242,11 +242,12 @@
                 endpoint.mark_replaced();
                 false
             }
-            // A full upstream rejects health checks like requests.
-            Outcome::Failed(Cause::Shed | Cause::Unidentified) => {
-                endpoint.load(now) < f64::from(endpoint.slots())
-            }
-            Outcome::Failed(Cause::Deadline | Cause::UpstreamLeft | Cause::OutsideRegions) => false,
+            Outcome::Failed(Cause::Shed) => endpoint.load(now) < f64::from(endpoint.slots()),
+            // A full upstream rejects health checks like requests, and a caller may have no time
+            // for one.
+            Outcome::Failed(
+                Cause::Deadline | Cause::UpstreamLeft | Cause::OutsideRegions | Cause::Unidentified,
+            ) => false,
             Outcome::Response(_) | Outcome::Failed(_) | Outcome::TimedOut => true,
         };
         if has_failed && endpoint.record_failure(now) {
--- a/components/gateway/src/identity.rs
+++ b/components/gateway/src/identity.rs
@@ -3,7 +3,7 @@
 //! The address of an upstream that ended may belong to another one, in another region, before this
 //! VM learns of it. See docs/DATAPATH.md, "Addresses that are used again".
 
-use crate::attempt::{self, Job, MAX_HEAD_BYTES, MAX_SKIPPED_BYTES};
+use crate::attempt::{self, Job, MAX_HEAD_BYTES, MAX_SKIPPED_BYTES, SKIP_TIMEOUT};
 use crate::connection::Connection;
 use crate::core::Core;
 use crate::endpoint::Endpoint;
@@ -16,14 +16,18 @@
 
 /// The part of the time left that a check may take, so that another upstream can be used.
 const TIME_DIVISOR: u64 = 2;
+/// The longest time for a check, beyond the network latency: upstreams respond to health checks at
+/// once, or after the requests in their queue.
+const TIMEOUT: Millis = Millis(500);
 
 /// Requests the id of the upstream at the other end of `connection`; returns whether a request may
 /// be sent on the connection afterwards.
 ///
 /// # Errors
 ///
-/// [`Cause::Replaced`] if it is another one than that of `endpoint`, and [`Cause::Unidentified`] if
-/// it doesn't tell in time.
+/// [`Cause::Replaced`] if it is another one than that of `endpoint`, [`Cause::Unidentified`] if the
+/// response names none or there is no time to wait for it, and [`Cause::CheckTimeout`] if there is
+/// no response.
 pub async fn check(
     core: &Core,
     job: &Job,
@@ -32,28 +36,43 @@
     connection: &mut Connection,
 ) -> Result<bool, Cause> {
     let sent = core.clock.now();
-    let limit = Millis((job.deadline - sent).0 / TIME_DIVISOR);
-    let exchange = exchange(service, endpoint, connection);
-    let response = tokio::time::timeout(limit.duration(), exchange).await;
-    let response = response.ok().flatten().ok_or(Cause::Unidentified)?;
-    let names = core.protocol.names();
-    let Some(id) = response.headers.text(names.instance) else {
-        return Err(Cause::Unidentified);
+    let is_new = connection.ids.is_empty();
+    let latency = core
+        .upstreams
+        .borrow()
+        .network_latency(&core.settings().region, endpoint.region.as_deref());
+    let (available, longest) = (Millis((job.deadline - sent).0 / TIME_DIVISOR), TIMEOUT + latency);
+    let request = request(service, endpoint, connection);
+    let response = match tokio::time::timeout(available.min(longest).duration(), request).await {
+        Ok(Some(response)) => response,
+        // The upstream may have closed a connection that was idle.
+        Ok(None) if !is_new => return Ok(false),
+        Err(_) if available < longest => return Err(Cause::Unidentified),
+        Ok(None) | Err(_) => return Err(Cause::CheckTimeout),
     };
-    if *id != *endpoint.entry.id {
+    let names = core.protocol.names();
+    let id = response.headers.text(names.instance);
+    if id.is_some_and(|id| *id != *endpoint.entry.id) {
         let request = std::str::from_utf8(&job.id).unwrap_or_default();
         reporting::upstream_replaced(request, endpoint, connection.ids.origin());
         return Err(Cause::Replaced);
     }
+    if id.is_none() {
+        return Err(Cause::Unidentified);
+    }
     endpoint.record_identity(sent + core.settings().bounds.address_reuse);
     attempt::record_load(core, endpoint, &response);
     attempt::record_statement(core, endpoint, &response);
     connection.identified = true;
-    Ok(response.keep_alive && connection.reader.is_reusable().await)
+    let is_reusable = response.keep_alive && {
+        let skipping = connection.reader.skip(MAX_SKIPPED_BYTES);
+        matches!(tokio::time::timeout(SKIP_TIMEOUT.duration(), skipping).await, Ok(Ok(())))
+    };
+    Ok(is_reusable && connection.reader.is_reusable().await)
 }
 
-/// Sends a health check and reads the response; `None` if there is none.
-async fn exchange(
+/// Sends a health check and reads the head of the response; `None` if the connection ends.
+async fn request(
     service: &Service,
     endpoint: &Endpoint,
     connection: &mut Connection,
@@ -63,9 +82,5 @@
     let mut bytes = BytesMut::new();
     encode::request(&mut bytes, b"GET", service.health_path.as_bytes(), fields.into_iter());
     connection.writer.write_all(&bytes).await.ok()?;
-    let response = connection.reader.response(b"GET", MAX_HEAD_BYTES).await.ok()?;
-    if response.keep_alive {
-        connection.reader.skip(MAX_SKIPPED_BYTES).await.ok()?;
-    }
-    Some(response)
+    connection.reader.response(b"GET", MAX_HEAD_BYTES).await.ok()
 }
--- a/components/gateway/src/outcome.rs
+++ b/components/gateway/src/outcome.rs
@@ -30,6 +30,8 @@
     Replaced,
     /// Before anything was sent, a check did not show whether the address belongs to the upstream.
     Unidentified,
+    /// Before anything was sent, the upstream did not respond to a check.
+    CheckTimeout,
     /// The address belongs to another upstream now (status 421).
     Misdirected,
     /// The upstream shed the request, stating that it did not execute it.
@@ -72,7 +74,8 @@
             | Cause::UpstreamLeft
             | Cause::OutsideRegions
             | Cause::Replaced
-            | Cause::Unidentified => Execution::NotSent,
+            | Cause::Unidentified
+            | Cause::CheckTimeout => Execution::NotSent,
             Cause::Misdirected | Cause::Shed => Execution::NotRun,
             Cause::Closed
             | Cause::Reset
@@ -94,6 +97,7 @@
             Cause::OutsideRegions => "outside the regions",
             Cause::Replaced => "replaced",
             Cause::Unidentified => "not identified",
+            Cause::CheckTimeout => "no response to a check",
             Cause::Misdirected => "another upstream",
             Cause::Shed => "shed",
             Cause::Closed => "closed",
--- a/components/gateway/tests/regions.rs
+++ b/components/gateway/tests/regions.rs
@@ -347,3 +347,37 @@
     })
     .await;
 }
+
+/// Guards against upstreams that requests without restrictions leave since a check failed: a full
+/// upstream refuses checks without naming itself, and a caller in a hurry doesn't wait for one.
+#[tokio::test]
+async fn a_check_without_a_name_in_time_does_not_eject_the_upstream() {
+    for (health, delay, deadline) in [(Some(429), 0, "1500"), (Some(200), 120, "200")] {
+        run_test(async |world| {
+            let (near, far) =
+                (world.upstream_in("u1", "d1").await, world.upstream_in("u2", "d2").await);
+            world.declare_with(1, |configuration| {
+                for route in &mut configuration.routes {
+                    if &*route.prefix == "/order/" {
+                        let regions = vec!["r1".into()];
+                        *route = Arc::new(Route { regions, ..Route::clone(route) });
+                    }
+                }
+            });
+            let vm = gateway(&world).await;
+            vm.await_ready().await;
+            near.set_health(health);
+            near.delay_health(Millis(delay));
+            for order in ["o1", "o2", "o3"] {
+                let text = post("/order/1", order, "x").replace("1500", deadline);
+                assert_eq!(send(&vm, &text).await.status, 503);
+            }
+            assert_ne!(near.checks(), 0);
+            for read in ["r1", "r2", "r3", "r4"] {
+                assert_eq!(send(&vm, &get("/read/1", read)).await.status, 200);
+            }
+            assert_eq!((near.received().len(), far.received()), (4, Vec::new()));
+        })
+        .await;
+    }
+}
