Bound an endless body by the timers of the runtime, not by wall time

a_body_without_end_is_broken_off_at_the_deadline failed once at started.elapsed() < 1,100 ms, beside a load of 27.

What was tried: 48 runs of two bodies each on and on, at loads of 13 to 23, 23 of them beside 8 busy processes, with the times of the parts printed. The failure was not seen again; 640 to 658 ms is the whole time in all runs. In the 30 runs of this test alone the request reaches the attempt after 0.5 ms at most, the gateway breaks off 640 to 646 ms later (the 600 ms and its margin of 40 ms), and the caller sees the end 0.2 ms after that at most. No sign of a fault of the gateway; what delayed the run that failed isn't known.

Why the check was wrong: it measures for how long the machine doesn't run the test. With the process stopped (SIGSTOP) for 700 ms, the time is 1,095 to 1,318 ms if the stop begins in the second half of the 640 ms. If it begins in the first half, the test fails at another line: the body's first 256 KB, which took 300 ms in pieces of 1 KB, are not complete at the deadline, and the gateway rightly gives a complete error response.

Change: the same 1,100 ms, counted in ticks of 10 ms of the runtime in which the gateway runs; missed ticks are skipped, so that a stop counts as one. A gateway that blocks its thread would count as one tick, too; that isn't what this test is about.

It fails, "still passed on", with a gateway that breaks off 500 ms later.

--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -21,6 +21,7 @@
 };
 use store::Store;
 use tokio::task::LocalSet;
+use tokio::time::MissedTickBehavior;
 use upstream::Standin;
 
 // Ports are the same for all VMs, as each VM has its own address.
@@ -36,6 +37,8 @@
 
 /// A test that waits for a condition fails after this time; each takes a few seconds at most.
 const TEST_TIMEOUT: Millis = Millis(20_000);
+/// The resolution of [`within`].
+const TICK: Millis = Millis(10);
 
 static NEXT_NETWORK: AtomicU8 = AtomicU8::new(1);
 
@@ -190,6 +193,27 @@
     }
 }
 
+/// The output of `future`, or `None` if it takes longer than `span`. However long the machine doesn't
+/// run the test, that counts as one tick, as the gateway's timers are late by the same time.
+pub async fn within<Pending>(span: Millis, future: Pending) -> Option<Pending::Output>
+where
+    Pending: Future,
+{
+    let mut ticks = tokio::time::interval(TICK.duration());
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let expiry = async {
+        // The first tick is due at once.
+        for _ in 0..=span.0 / TICK.0 {
+            ticks.tick().await;
+        }
+    };
+    tokio::select! {
+        biased;
+        output = future => Some(output),
+        () = expiry => None,
+    }
+}
+
 /// An earlier description of the VM of this name, by which peers can reach it.
 pub fn member(vm: &Vm, name: &str, domain: &str, ready: bool) -> Member {
     Member {
