Converge anew after a pause, and compare views only with those that are known to be whole

By reading: after all VMs were killed, one that had judged its view by the time since its start, not by a peer, told later ones how many VMs it knew, and they stopped there.

A VM whose rounds of heartbeats paused for as long as a peer may be silent refuses look-ups until it has converged again. A view that converged without a peer is no reference for others until 3 s after the start.

a_vm_that_was_suspended_answers_once_it_knows_the_vms_of_the_region fails without the first change (the answer is the other region's VM); a_view_that_converged_without_a_peer_is_no_reference_at_first came with the second.

--- a/components/gateway/src/core.rs
+++ b/components/gateway/src/core.rs
@@ -90,6 +90,8 @@
     pub members: RefCell<Members>,
     /// Whether this VM knows the others well enough to answer look-ups.
     pub convergence: RefCell<Convergence>,
+    /// When this VM last sent a round of heartbeats.
+    pub last_round: Cell<Millis>,
     /// Stamps of peers' heartbeats, which date the next ones.
     pub echoes: RefCell<Echoes>,
     /// This VM's own membership entry, sent in heartbeats.
@@ -170,6 +172,7 @@
                 BUDGET_SHARE_RETENTION,
             )),
             convergence: RefCell::new(Convergence::new(now)),
+            last_round: Cell::new(now),
             echoes: RefCell::new(Echoes::new(rand::random(), now)),
             own_member: RefCell::new(member),
             cross_region: RefCell::new(Limiter::new(bounds.max_shift, now)),
@@ -221,13 +224,36 @@
         !self.is_stopping() && self.catalogue.borrow().is_complete()
     }
 
+    /// The live VMs that this VM knows, including itself, if peers may compare their views with it.
+    pub fn reference_count(&self) -> Option<usize> {
+        let is_reference = self.convergence.borrow().is_reference(self.clock.now());
+        (self.has_converged() && is_reference).then(|| self.live_count())
+    }
+
     /// The live VMs that this VM knows, including itself.
     pub fn live_count(&self) -> usize {
         self.members.borrow().alive(self.clock.now()).count() + 1
     }
 
+    /// Records a round of heartbeats. After a pause in which all peers seem to have died, what this
+    /// VM knows of them is as old as the pause, and it has to converge anew.
+    pub fn record_round(&self) {
+        let now = self.clock.now();
+        let pause = now - self.last_round.replace(now);
+        if pause >= MEMBER_TIMEOUT {
+            log::info!(
+                target: "belief", pause_ms = pause.0;
+                "no heartbeats sent during a pause; refusing look-ups until the VMs are known again"
+            );
+            *self.convergence.borrow_mut() = Convergence::new(now);
+        }
+    }
+
     /// Whether this VM knows the others well enough to answer look-ups.
     pub fn has_converged(&self) -> bool {
+        if self.clock.now() - self.last_round.get() >= MEMBER_TIMEOUT {
+            return false;
+        }
         let mut convergence = self.convergence.borrow_mut();
         if convergence.has_converged() {
             return true;
--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -125,6 +125,7 @@
 
 /// Sends one round of heartbeats.
 pub async fn send_round(core: &Core, socket: &UdpSocket) {
+    core.record_round();
     let now = core.clock.now();
     expire_members(core, now);
     let mut alive: Vec<Member> = core.members.borrow().alive(now).cloned().collect();
@@ -181,7 +182,7 @@
     requests_members: bool,
 ) {
     let mut datagram = bytes.to_vec();
-    let live = core.has_converged().then(|| core.live_count());
+    let live = core.reference_count();
     let view = View { live, requests_members };
     let timing = {
         let (echoes, now) = (core.echoes.borrow(), core.clock.now());
--- a/components/gateway/tests/lookups.rs
+++ b/components/gateway/tests/lookups.rs
@@ -9,6 +9,8 @@
 
 /// Time within which callers need an answer after all VMs were killed.
 const ANSWER_BOUND: Millis = Millis(3_000);
+/// Longer than a VM may be silent before it counts as dead.
+const SUSPENSION: Millis = Millis(3_500);
 
 /// Starts a VM of region `r2` that joins through `peer`.
 async fn far_gateway(world: &World, vm: &str, peer: &Vm) -> Vm {
@@ -98,3 +100,19 @@
     })
     .await;
 }
+
+/// Guards against callers that are sent to other regions by a VM that was suspended: all of its
+/// peers seemed to have died, so that it named itself.
+#[tokio::test]
+async fn a_vm_that_was_suspended_answers_once_it_knows_the_vms_of_the_region() {
+    run_test(async |world| {
+        let (_upstream, a) = world.serving().await;
+        let far = far_gateway(&world, "far", &a).await;
+        let near = [a.callers().to_string()];
+        until(async || far.look_up("r1").await == near).await;
+        // Both VMs run on this thread.
+        std::thread::sleep(SUSPENSION.duration());
+        assert_eq!(first_answer(&far, "r1").await, near);
+    })
+    .await;
+}
--- a/components/steering/src/convergence.rs
+++ b/components/steering/src/convergence.rs
@@ -52,6 +52,12 @@
         self.converged
     }
 
+    /// Whether peers may compare their views with this one at `now`. A view that has converged
+    /// without a peer may lack most VMs for some time.
+    pub fn is_reference(&self, now: Millis) -> bool {
+        self.converged && (self.reported > 0 || now - self.started >= MAX_SPAN)
+    }
+
     /// The most live VMs that a converged peer has known.
     pub fn reported(&self) -> usize {
         self.reported
--- a/components/steering/tests/convergence.rs
+++ b/components/steering/tests/convergence.rs
@@ -75,3 +75,17 @@
     assert_eq!(requested, 1);
     assert!(view.record_peer(90, 60, after(13_000)));
 }
+
+/// Guards against views of a few VMs that spread: after all VMs were killed, one that had answered
+/// by what it knew after a second was taken as the measure by those that started later.
+#[test]
+fn a_view_that_converged_without_a_peer_is_no_reference_at_first() {
+    let mut alone = Convergence::new(START);
+    assert!(alone.judge(3, after(1_000)));
+    assert!(!alone.is_reference(after(2_900)));
+    assert!(alone.is_reference(after(3_000)));
+    let mut informed = Convergence::new(START);
+    informed.record_peer(90, 1, after(10));
+    assert!(!informed.is_reference(after(20)));
+    assert!(informed.judge(90, after(30)) && informed.is_reference(after(30)));
+}
