--- a/components/harness/tests/process.rs
+++ b/components/harness/tests/process.rs
@@ -16,7 +16,7 @@
     fields.split_whitespace().next().unwrap().into()
 }
 
-// Failure: an order that was sent to a paused process ran, as the process hadn't stopped yet.
+/// Guards against orders that run though their owner was paused: the process had not stopped yet.
 #[test]
 fn a_process_has_stopped_when_signal_returns() {
     let count = BUSY_PER_CPU * available_parallelism().unwrap().get();
--- a/components/steering/src/staleness.rs
+++ b/components/steering/src/staleness.rs
@@ -13,7 +13,7 @@
 /// read, for a retry on a new connection, and for requests on their way to an upstream.
 const READ_DIVISOR: u64 = 2;
 
-/// The ages of a copy at which a VM acts.
+/// The ages of a copy at which a VM acts, and the time for a transfer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// From this age on, the VM requests a heartbeat from a reader of its region.
