--- a/components/gateway/tests/world/store.rs
+++ b/components/gateway/tests/world/store.rs
@@ -207,10 +207,10 @@
             let changes = self.store.changes(feed, after, revision);
             if !changes.is_empty() || called.elapsed() >= wait.duration() {
                 self.delay().await;
-                if !changes.is_empty() {
-                    if let Err(error) = self.transfer(timeout + transfer).await {
-                        return Ok(Update::Incomplete(error));
-                    }
+                if !changes.is_empty()
+                    && let Err(error) = self.transfer(timeout + transfer).await
+                {
+                    return Ok(Update::Incomplete(error));
                 }
                 return Ok(Update::Changes(Batch { feed, full: false, revision, changes }));
             }
