--- a/components/steering/src/entry_selection.rs
+++ b/components/steering/src/entry_selection.rs
@@ -68,7 +68,7 @@
 }
 
 /// At most [`MAX_VMS`] of `vms`, by rendezvous hashing with the name of the VM that answers: a
-/// caller that asks the same VM again gets the same ones, and all VMs together return each of them
+/// caller that tries the same VM again gets the same ones, and all VMs together return each of them
 /// about equally often.
 fn limit<'a>(vm: &str, mut vms: Vec<&'a Member>) -> Vec<&'a Member> {
     if vms.len() > MAX_VMS {
