Count the time for which a gateway blocks its thread in the limit on an endless body

A thread of its own measures now, in steps of at most twice 10 ms: a blocked thread counts in full, and only a machine that doesn't run the process doesn't. The limit stays 1,100 ms, and the response must not look complete, as before.

--- a/components/gateway/tests/endless.rs
+++ b/components/gateway/tests/endless.rs
@@ -208,3 +208,13 @@
         .await;
     }
 }
+
+/// Guards against a check that misses a gateway which blocks its thread: its timers stand still too.
+#[tokio::test]
+async fn time_for_which_the_thread_is_blocked_counts() {
+    let block = async { std::thread::sleep(Millis(600).duration()) };
+    assert!(within(Millis(300), block).await.is_none());
+    let pause = async { tokio::time::sleep(Millis(600).duration()).await };
+    assert!(within(Millis(300), pause).await.is_none());
+    assert!(within(Millis(300), async {}).await.is_some());
+}
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -14,14 +14,14 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::Instant;
 use steering::membership::Member;
 use steering::routing::{
     Configuration, Effect, Limits, Readiness, Route, Service, Target, Upstream,
 };
 use store::Store;
 use tokio::task::LocalSet;
-use tokio::time::MissedTickBehavior;
 use upstream::Standin;
 
 // Ports are the same for all VMs, as each VM has its own address.
@@ -193,24 +193,28 @@
     }
 }
 
-/// The output of `future`, or `None` if it takes longer than `span`. However long the machine doesn't
-/// run the test, that counts as one tick, as the gateway's timers are late by the same time.
+/// The output of `future`, or `None` if it takes longer than `span`. A thread of its own measures, so
+/// that a future which blocks its thread is noticed. However long the machine doesn't run the test,
+/// that counts as two ticks, as the gateway's timers are late by the same time.
 pub async fn within<Pending>(span: Millis, future: Pending) -> Option<Pending::Output>
 where
     Pending: Future,
 {
-    let mut ticks = tokio::time::interval(TICK.duration());
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-    let expiry = async {
-        // The first tick is due at once.
-        for _ in 0..=span.0 / TICK.0 {
-            ticks.tick().await;
+    let elapsed_us = Arc::new(AtomicU64::new(0));
+    let measured = Arc::clone(&elapsed_us);
+    std::thread::spawn(move || {
+        while Arc::strong_count(&measured) > 1 {
+            let started = Instant::now();
+            std::thread::sleep(TICK.duration());
+            let tick = started.elapsed().min(TICK.duration() * 2);
+            measured.fetch_add(tick.as_micros() as u64, Ordering::Relaxed);
         }
-    };
+    });
+    let has_expired = || Millis(elapsed_us.load(Ordering::Relaxed) / 1_000) >= span;
     tokio::select! {
         biased;
-        output = future => Some(output),
-        () = expiry => None,
+        output = future => (!has_expired()).then_some(output),
+        () = until(async || has_expired()) => None,
     }
 }
 
