Take keepalive off connections to upstreams, so that requests given up don't arrive later

Cause: the kernel's keepalive ended connections whose link was cut, 3 s after the last byte came in, also with a request in flight.

Change: connections to upstreams have the user timeout only, which drops what was not sent. A request that isn't acknowledged fails as 'not acknowledged', and idle connections to that upstream are closed, which is what keepalive did for them.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use clock::Millis;
 use http1::{Error, Framing, Headers, Reader, Request, Response, encode};
+use std::io;
 use std::rc::Rc;
 use steering::routing::{AllowedRegions, Service, Table};
 use tokio::net::tcp::OwnedReadHalf;
@@ -157,6 +158,9 @@
     let response = match response {
         Ok(response) => response,
         Err(Error::Closed) => return Outcome::Failed(Cause::Closed),
+        Err(Error::Broken { source }) if source.kind() == io::ErrorKind::TimedOut => {
+            return Outcome::Failed(Cause::Silent);
+        }
         Err(Error::Broken { .. }) => return Outcome::Failed(Cause::Reset),
         Err(Error::Truncated) => return Outcome::Failed(Cause::HeadTruncated),
         Err(_) => return Outcome::Failed(Cause::Malformed),
--- a/components/gateway/src/connection.rs
+++ b/components/gateway/src/connection.rs
@@ -16,8 +16,9 @@
 /// Time to open a connection in addition to the network latency; an upstream that takes longer is
 /// treated as unreachable.
 const CONNECT_TIMEOUT: Millis = Millis(300);
-/// TCP keepalive and user timeout: a connection on which the upstream acknowledges nothing for this
-/// time is broken.
+/// TCP user timeout: a connection on which the upstream does not acknowledge a request for this time
+/// is broken. There is no keepalive, as the kernel would give up requests that a cut link delivers
+/// later; docs/DATAPATH.md, "Requests that are given up".
 const SILENCE_TIMEOUT: Millis = Millis(3_000);
 
 /// How often idle connections are checked. Until then, what an upstream sends on one fills its
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -243,6 +243,11 @@
                 false
             }
             Outcome::Failed(Cause::Shed) => endpoint.load(now) < f64::from(endpoint.slots()),
+            Outcome::Failed(Cause::Silent) => {
+                // On its other connections, requests would wait as long.
+                endpoint.pool.borrow_mut().clear();
+                true
+            }
             // A full upstream rejects health checks like requests, and a caller may have no time
             // for one.
             Outcome::Failed(
--- a/components/gateway/src/outcome.rs
+++ b/components/gateway/src/outcome.rs
@@ -40,6 +40,8 @@
     Closed,
     /// The connection was reset before the response.
     Reset,
+    /// The upstream's host did not acknowledge the request.
+    Silent,
     /// The connection ended within the response's head.
     HeadTruncated,
     /// The bytes received are not a valid response.
@@ -79,6 +81,7 @@
             Cause::Misdirected | Cause::Shed => Execution::NotRun,
             Cause::Closed
             | Cause::Reset
+            | Cause::Silent
             | Cause::HeadTruncated
             | Cause::Malformed
             | Cause::Unsigned
@@ -102,6 +105,7 @@
             Cause::Shed => "shed",
             Cause::Closed => "closed",
             Cause::Reset => "reset",
+            Cause::Silent => "not acknowledged",
             Cause::HeadTruncated => "truncated",
             Cause::Malformed => "garbage",
             Cause::Unsigned => "no signature",
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -51,6 +51,11 @@
         pool.idle = usable;
     }
 
+    /// Closes all connections.
+    pub fn clear(&mut self) {
+        self.idle.clear();
+    }
+
     /// Whether there are no connections.
     pub fn is_empty(&self) -> bool {
         self.idle.is_empty()
--- a/components/gateway/tests/world/mod.rs
+++ b/components/gateway/tests/world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only a part")]
 
 pub mod caller;
+pub mod link;
 pub mod probe;
 pub mod protocol;
 pub mod store;
--- a/components/http1/src/client.rs
+++ b/components/http1/src/client.rs
@@ -142,6 +142,8 @@
 
     async fn connect(&self) -> Result<Reader<TcpStream>, Failure> {
         let opened = net::connect(self.address, self.timeouts).await;
+        let opened = opened
+            .and_then(|stream| net::configure(&stream, self.timeouts.silence).map(|()| stream));
         opened.map(Reader::new).map_err(|source| Failure::Unreachable { source })
     }
 
--- a/components/http1/src/net.rs
+++ b/components/http1/src/net.rs
@@ -16,11 +16,12 @@
 pub struct Timeouts {
     /// Time to open the connection.
     pub connect: Millis,
-    /// Time without a segment or acknowledgement from the remote host.
+    /// Time without an acknowledgement from the remote host of what was sent.
     pub silence: Millis,
 }
 
-/// Opens a connection.
+/// Opens a connection. It fails once bytes that were sent are not acknowledged for
+/// `timeouts.silence`.
 ///
 /// # Errors
 ///
@@ -28,12 +29,13 @@
 pub async fn connect(address: SocketAddr, timeouts: Timeouts) -> io::Result<TcpStream> {
     let opening = TcpStream::connect(address);
     let stream = tokio::time::timeout(timeouts.connect.duration(), opening).await??;
-    configure(&stream, timeouts.silence)?;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(timeouts.silence.duration()))?;
     Ok(stream)
 }
 
 /// Disables Nagle's algorithm, and fails the connection after `silence` without a segment or
-/// acknowledgement from the remote host.
+/// acknowledgement from the remote host, also while nothing is sent.
 ///
 /// # Errors
 ///
