Count an attempt out of its upstream once in the bench's model

Cause: the upstream's counter of outstanding attempts was lowered as a response left it, and again when the attempt was cancelled because a hedge was answered first.

Change: an attempt remembers that it has left its upstream.

--- a/components/bench/src/serving.rs
+++ b/components/bench/src/serving.rs
@@ -89,6 +89,8 @@
     ticket: Ticket,
     /// The entry VM has received the response or cancelled the attempt.
     ended: bool,
+    /// The upstream has completed the attempt or learnt that it is cancelled.
+    left_upstream: bool,
 }
 
 struct Vm {
@@ -292,7 +294,13 @@
         state.tried.push(pick.index);
         state.attempts.push(attempt);
         let one_way_us = vm.pool.members()[pick.index].round_trip.0 * 500;
-        self.attempts.push(Attempt { request, upstream, ticket, ended: false });
+        self.attempts.push(Attempt {
+            request,
+            upstream,
+            ticket,
+            ended: false,
+            left_upstream: false,
+        });
         self.queue.add(self.now_us + one_way_us, Event::Reach { attempt });
         Ok(pick.reason)
     }
@@ -333,6 +341,9 @@
     }
 
     fn remove_from_upstream(&mut self, attempt: usize) {
+        if std::mem::replace(&mut self.attempts[attempt].left_upstream, true) {
+            return;
+        }
         let upstream = self.attempts[attempt].upstream;
         self.outstanding[upstream] -= 1;
         if let Some(next) = self.upstreams[upstream].remove(attempt) {
--- a/components/bench/tests/serving.rs
+++ b/components/bench/tests/serving.rs
@@ -46,6 +46,20 @@
     assert!(slowed.short.value_at_quantile(0.95) > 2 * normal.short.value_at_quantile(0.95));
 }
 
+// Guards against attempts that leave their upstream twice: once as their response is under way, and
+// once more as they are cancelled for the response of a hedge. The count of outstanding attempts
+// then fell below zero, and policies that know it chose wrongly.
+#[test]
+fn an_attempt_that_is_cancelled_after_its_end_leaves_its_upstream_once() {
+    let slowdown = Some(Slowdown { upstreams: 2, factor: 10 });
+    let rate = Demand::rate(Scenario::Maalwerk, 0.7, Demand::mean_us(None));
+    for policy in Policy::ALL {
+        let slowed = Demand { rate, slowdown, seconds: 20, ..demand(Scenario::Maalwerk) };
+        let results = serve(&slowed, policy, 1);
+        assert!(results.short.len() > 1_000, "{}: {}", policy.name(), results.short.len());
+    }
+}
+
 #[test]
 fn a_spread_names_the_least_the_median_and_the_greatest() {
     let spread = Spread::of(vec![3.0, 1.0, 2.0, 9.0, 4.0]);
