Send no request on whose caller has left before it was sent

An order was sent on all the same when its caller left meanwhile, as only requests that may be repeated ended with their callers. And where the process gets little processor time, it finds at one look that a request can be sent and that its caller has left, and sent first.

Change: orders that were not sent yet end with their caller as well, and a request that could not be sent within 20 ms lets the readers of callers' connections run before it is sent.

Measured: both tests of gateway/tests/departed_callers fail before (one order and one read were sent), the second one also without the yield.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use steering::routing::{AllowedRegions, Service, Table};
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Bodies up to this size are buffered until complete, so that a truncated one can be retried.
@@ -29,6 +29,9 @@
 /// Time to wait for the response beyond the deadline: an upstream that rejects the request at the
 /// deadline states whether it was executed.
 pub const DEADLINE_MARGIN: Millis = Millis(40);
+/// A request that is sent this long after it was read may have lost its caller meanwhile, which the
+/// reader of the caller's connection must get a chance to notice.
+const RECHECK_AFTER: Millis = Millis(20);
 /// Connections that are opened for one attempt to learn which upstream is at the address.
 const MAX_CHECKS: usize = 2;
 /// Pieces of a streamed body that are buffered for the caller.
@@ -43,8 +46,12 @@
     pub body: Bytes,
     /// The id of the caller's attempt.
     pub id: Bytes,
+    /// When it was read.
+    pub arrived: Millis,
     /// When the caller must have the response.
     pub deadline: Millis,
+    /// Whether the caller has disconnected.
+    pub disconnected: watch::Receiver<bool>,
     /// The routes that were in force when the request was read.
     pub table: Rc<Table>,
     /// The regions that they allow.
@@ -52,6 +59,12 @@
 }
 
 impl Job {
+    /// Whether the caller has disconnected, so that the request must not be sent any more, nor sent
+    /// again.
+    pub fn is_abandoned(&self) -> bool {
+        *self.disconnected.borrow()
+    }
+
     /// The regions that may get the request now: the configuration in force must allow them too.
     pub fn allowed_regions(&self, core: &Core) -> AllowedRegions {
         let mut allowed = self.allowed.clone();
@@ -77,11 +90,19 @@
         Ok(connection) => connection,
         Err(cause) => return Outcome::Failed(cause),
     };
+    if core.clock.now() - job.arrived >= RECHECK_AFTER {
+        // Lets what has arrived on other connections be read first.
+        tokio::task::yield_now().await;
+    }
     let now = core.clock.now();
     if now >= job.deadline {
         keep(core, endpoint, connection, None);
         return Outcome::Failed(Cause::Deadline);
     }
+    if job.is_abandoned() {
+        keep(core, endpoint, connection, None);
+        return Outcome::Failed(Cause::CallerLeft);
+    }
     let statement = &endpoint.statement;
     let is_refusing = statement.is_leaving() || statement.is_paused(now);
     if is_refusing || !core.upstreams.borrow().contains(endpoint) {
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -16,6 +16,7 @@
 use steering::affinity::Reason;
 use steering::catalogue::Feed;
 use steering::routing::{AllowedRegions, Effect, Route, Service};
+use tokio::sync::watch;
 
 /// Deadline of requests whose caller gives none.
 const DEFAULT_DEADLINE: Millis = Millis::from_secs(30);
@@ -44,14 +45,22 @@
 }
 
 /// Forwards a request that arrived at `arrived` and returns the response to it.
-pub async fn forward(core: &Rc<Core>, head: Request, body: Bytes, arrived: Millis) -> Reply {
+/// `disconnected` tells when its caller disconnects.
+pub async fn forward(
+    core: &Rc<Core>,
+    head: Request,
+    body: Bytes,
+    arrived: Millis,
+    disconnected: watch::Receiver<bool>,
+) -> Reply {
     let names = core.protocol.names();
     let id = head.headers.get(names.request_id).cloned().unwrap_or_default();
     let budget = head.headers.text(names.deadline).and_then(|text| text.trim().parse().ok());
     let budget = budget.map_or(DEFAULT_DEADLINE, Millis);
     let mut progress = Progress::default();
     let object = head.headers.get(names.object).cloned().unwrap_or_default();
-    let reply = handle(core, head, body, id.clone(), arrived, budget, &mut progress).await;
+    let unplaced = Unplaced { head, body, id: id.clone(), arrived, budget, disconnected };
+    let reply = handle(core, unplaced, &mut progress).await;
     let now = core.clock.now();
     reporting::request_completed(&reporting::RequestRecord {
         request: std::str::from_utf8(&id).unwrap_or_default(),
@@ -73,15 +82,18 @@
     reply
 }
 
-async fn handle(
-    core: &Rc<Core>,
+/// A request whose route is not known yet.
+struct Unplaced {
     head: Request,
     body: Bytes,
     id: Bytes,
     arrived: Millis,
     budget: Millis,
-    progress: &mut Progress,
-) -> Reply {
+    disconnected: watch::Receiver<bool>,
+}
+
+async fn handle(core: &Rc<Core>, request: Unplaced, progress: &mut Progress) -> Reply {
+    let Unplaced { head, body, id, arrived, budget, disconnected } = request;
     if !core.catalogue.borrow().is_complete() {
         progress.reason = "no configuration yet";
         return Reply::failure(Kind::NotReady, Some(NOT_READY_RETRY_AFTER));
@@ -110,18 +122,10 @@
         return Reply::failure(Kind::Leaving, Some(MIN_RETRY_AFTER));
     }
     core.retry_budget.borrow_mut().record_request(&service.name, arrived);
-    let job = Job { head, body, id, deadline, table, allowed };
-    Attempts {
-        core,
-        route: &route,
-        service: &service,
-        job,
-        arrived,
-        tried: Vec::new(),
-        may_have_run: false,
-    }
-    .run(progress)
-    .await
+    let job = Job { head, body, id, arrived, deadline, disconnected, table, allowed };
+    Attempts { core, route: &route, service: &service, job, tried: Vec::new(), may_have_run: false }
+        .run(progress)
+        .await
 }
 
 /// Whether a request that arrived at `arrived` certainly ends before a stopping process does. An
@@ -146,7 +150,6 @@
     route: &'a Route,
     service: &'a Service,
     job: Job,
-    arrived: Millis,
     tried: Vec<Arc<str>>,
     /// Whether an upstream may have executed the request.
     may_have_run: bool,
@@ -161,6 +164,9 @@
             if now >= self.job.deadline {
                 return self.give_up("deadline", None, progress);
             }
+            if self.job.is_abandoned() {
+                return self.give_up(Cause::CallerLeft.as_str(), None, progress);
+            }
             let (endpoint, choice) = match self.place(now) {
                 Ok(placed) => placed,
                 Err(retry_after) => return self.give_up("full", Some(retry_after), progress),
@@ -218,7 +224,7 @@
             allowed: &allowed,
             object: object.map(|object| object.as_ref()).unwrap_or_default(),
             tried: &self.tried,
-            elapsed: now - self.arrived,
+            elapsed: now - self.job.arrived,
             remaining: self.job.deadline - now,
         };
         placement::place(self.core, &demand).map_err(|full| full.retry_after)
@@ -251,7 +257,11 @@
             // A full upstream rejects health checks like requests, and a caller may have no time
             // for one.
             Outcome::Failed(
-                Cause::Deadline | Cause::UpstreamLeft | Cause::OutsideRegions | Cause::Unidentified,
+                Cause::Deadline
+                | Cause::CallerLeft
+                | Cause::UpstreamLeft
+                | Cause::OutsideRegions
+                | Cause::Unidentified,
             ) => false,
             Outcome::Response(_) | Outcome::Failed(_) | Outcome::TimedOut => true,
         };
--- a/components/gateway/src/inbound.rs
+++ b/components/gateway/src/inbound.rs
@@ -167,11 +167,11 @@
         tokio::task::spawn_local(async move {
             let is_cancellable = is_cancellable(&core, &head);
             let buffered = body.len() as u64;
-            let forward = forward::forward(&core, head, body, arrived);
+            let forward = forward::forward(&core, head, body, arrived, disconnected.clone());
             let mut phase = core.phase.subscribe();
             let reply = tokio::select! {
                 reply = forward => Some(reply),
-                // An order is completed even if its caller has disconnected.
+                // An order that was sent is completed even if its caller has disconnected.
                 Ok(_) = disconnected.wait_for(|is_gone| *is_gone), if is_cancellable => None,
                 Ok(_) = phase.wait_for(|phase| *phase == Phase::Ending) => {
                     Some(Reply::failure(Kind::DeadlineAfterSend, None))
--- a/components/gateway/src/outcome.rs
+++ b/components/gateway/src/outcome.rs
@@ -20,6 +20,8 @@
     Connect,
     /// The deadline passed before anything was sent.
     Deadline,
+    /// Before anything was sent, the caller disconnected.
+    CallerLeft,
     /// Before anything was sent, the upstream's entry was removed or replaced, or it stated that it
     /// takes no requests.
     UpstreamLeft,
@@ -73,6 +75,7 @@
         match self {
             Cause::Connect
             | Cause::Deadline
+            | Cause::CallerLeft
             | Cause::UpstreamLeft
             | Cause::OutsideRegions
             | Cause::Replaced
@@ -96,6 +99,7 @@
         match self {
             Cause::Connect => "connect",
             Cause::Deadline => "deadline",
+            Cause::CallerLeft => "caller left",
             Cause::UpstreamLeft => "left",
             Cause::OutsideRegions => "outside the regions",
             Cause::Replaced => "replaced",
--- a/components/gateway/tests/world/upstream.rs
+++ b/components/gateway/tests/world/upstream.rs
@@ -90,6 +90,8 @@
     /// How long the check takes.
     health_delay: std::cell::Cell<Millis>,
     checks: std::cell::Cell<usize>,
+    /// What is done right after the next response to a check.
+    after_check: RefCell<Option<Box<dyn FnOnce()>>>,
     /// The tasks that accept and serve connections.
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
@@ -113,6 +115,7 @@
             health: std::cell::Cell::new(Some(200)),
             health_delay: std::cell::Cell::default(),
             checks: std::cell::Cell::default(),
+            after_check: RefCell::default(),
             tasks: RefCell::default(),
         });
         let shared = Rc::clone(&standin);
@@ -155,6 +158,11 @@
         self.health_delay.set(span);
     }
 
+    /// Calls `action` right after its next response to a check, before anything else can run.
+    pub fn after_check(&self, action: impl FnOnce() + 'static) {
+        *self.after_check.borrow_mut() = Some(Box::new(action));
+    }
+
     /// The number of health checks that reached it.
     pub fn checks(&self) -> usize {
         self.checks.get()
@@ -248,7 +256,7 @@
         self.checks.set(self.checks.get() + 1);
         tokio::time::sleep(self.health_delay.get().duration()).await;
         let id = &self.id;
-        match self.health.get() {
+        let written = match self.health.get() {
             None => reader.wait().await.is_ok(),
             // A full upstream rejects the check like any other request, without its name.
             Some(429) => write(reader, &refusal("")).await,
@@ -256,7 +264,11 @@
                 let head = format!("HTTP/1.1 {status} X\r\ntest-instance: {id}\r\n");
                 write(reader, format!("{head}Content-Length: 2\r\n\r\nok").as_bytes()).await
             }
+        };
+        if let Some(action) = self.after_check.take() {
+            action();
         }
+        written
     }
 
     /// Performs `behaviour`; returns whether the connection stays open.
