Place a request without work for each pair of VM and upstream

Cause: for each upstream of the service, placement counted the VMs of the fleet to find this VM's share of connections, and for each cold one it ranked all VMs; 702 upstreams and 295 VMs make 200,000 steps a request, on VMs of a tenth of a core. It also sorted all upstreams twice to use the first of them, and looked up a latency by name for each.

Change: the share and the latencies are taken once a request; whether this VM sends to a cold upstream is kept for 250 ms; only as many upstreams are sorted as the policy uses.

--- a/components/gateway/src/endpoint.rs
+++ b/components/gateway/src/endpoint.rs
@@ -18,6 +18,9 @@
 const SLOWDOWN_VALIDITY: Millis = Millis(800);
 /// How long a load report is used; after that, the requests of other VMs it counted are done.
 const LOAD_VALIDITY: Millis = Millis(1_500);
+/// How long the selection of the senders to a cold upstream is used; the live VMs are known with
+/// more delay.
+const COLD_SENDER_VALIDITY: Millis = Millis(250);
 
 /// An upstream with its connections and this VM's observations.
 #[derive(Debug)]
@@ -40,6 +43,8 @@
     cold_left: Cell<Millis>,
     cold_until: Cell<Millis>,
     next_cold_request: Cell<Millis>,
+    /// Whether this VM sends to the upstream while it is cold, and until when that holds.
+    cold_sender: Cell<(Millis, bool)>,
     replaced: Cell<bool>,
     identified_until: Cell<Millis>,
 }
@@ -79,6 +84,7 @@
             cold_left: Cell::new(cold_left),
             cold_until: Cell::new(if cold_until > now { cold_until } else { Millis::ZERO }),
             next_cold_request: Cell::default(),
+            cold_sender: Cell::default(),
             replaced: Cell::default(),
             identified_until: Cell::default(),
         }
@@ -196,6 +202,18 @@
         now >= self.next_cold_request.get()
     }
 
+    /// Whether this VM is one of those that send to the upstream while it is cold. `select` compares
+    /// all live VMs, and is called at long intervals only.
+    pub fn is_cold_sender(&self, now: Millis, select: impl FnOnce() -> bool) -> bool {
+        let (valid_until, known) = self.cold_sender.get();
+        if now < valid_until {
+            return known;
+        }
+        let selected = select();
+        self.cold_sender.set((now + COLD_SENDER_VALIDITY, selected));
+        selected
+    }
+
     /// Records a request to the cold upstream; the next one may follow after `spacing`.
     pub fn record_cold_request(&self, now: Millis, spacing: Millis) {
         self.next_cold_request.set(now + spacing);
--- a/components/gateway/src/placement.rs
+++ b/components/gateway/src/placement.rs
@@ -51,10 +51,11 @@
     let settings = core.settings();
     let upstreams = core.upstreams.borrow();
     let service_time = upstreams.service_times(&demand.route.name);
+    let connections = connection_share(core, demand.service);
     let endpoints: Vec<&Rc<Endpoint>> = upstreams
         .of_service(&demand.service.name)
         .iter()
-        .filter(|endpoint| is_eligible(core, demand, endpoint, now))
+        .filter(|endpoint| is_eligible(core, demand, endpoint, connections, now))
         .collect();
     let by_object = demand.route.affinity && !demand.object.is_empty();
     let policy = if by_object { BY_OBJECT } else { BY_LOAD };
@@ -70,6 +71,7 @@
     };
     let region = upstreams.assigned_region(&demand.service.name, object, is_available, now);
     let region = region.unwrap_or_else(|| Arc::clone(&settings.region));
+    let latencies = upstreams.network_latencies(&settings.region);
     let candidates: Vec<Candidate<'_>> = endpoints
         .iter()
         .map(|endpoint| Candidate {
@@ -77,8 +79,7 @@
             slots: endpoint.slots(),
             load: endpoint.load(now),
             slowdown: endpoint.slowdown(now),
-            network_latency: upstreams
-                .network_latency(&settings.region, endpoint.region.as_deref()),
+            network_latency: latencies.to(endpoint.region.as_deref()),
             assigned: endpoint.region.as_deref() == Some(region.as_ref()),
             ejected: is_ejected(endpoint),
         })
@@ -160,24 +161,34 @@
     (now < until).then(|| until - now)
 }
 
-/// Whether an upstream may get the request now, whatever its load.
-fn is_eligible(core: &Core, demand: &Demand<'_>, endpoint: &Rc<Endpoint>, now: Millis) -> bool {
-    if !is_usable(demand.allowed, endpoint) || endpoint.statement.is_paused(now) {
-        return false;
-    }
-    if demand.tried.contains(&endpoint.entry.id) {
-        return false;
-    }
-    let share =
-        f64::from(demand.service.connections) * CONNECTIONS_USED / core.sender_count() as f64;
-    if f64::from(endpoint.in_flight()) + 1.0 > share.max(1.0) {
-        return false;
-    }
-    if !endpoint.is_cold(now) {
-        return true;
-    }
-    let members = core.members.borrow();
-    let vms = members.alive(now).map(|member| member.vm.as_ref());
-    endpoint.may_get_cold_request(now)
-        && warmup::is_sender(&endpoint.entry.id, &core.settings().vm, now - core.started, vms)
+/// The connections to each upstream of a service that this VM may use: its share among all VMs.
+fn connection_share(core: &Core, service: &Service) -> f64 {
+    let share = f64::from(service.connections) * CONNECTIONS_USED / core.sender_count() as f64;
+    share.max(1.0)
+}
+
+/// Whether an upstream may get the request now, whatever its load. It runs for every upstream of a
+/// service, so that nothing in it may take longer in a larger fleet.
+fn is_eligible(
+    core: &Core,
+    demand: &Demand<'_>,
+    endpoint: &Rc<Endpoint>,
+    connections: f64,
+    now: Millis,
+) -> bool {
+    is_usable(demand.allowed, endpoint)
+        && !endpoint.statement.is_paused(now)
+        && !demand.tried.contains(&endpoint.entry.id)
+        && f64::from(endpoint.in_flight()) + 1.0 <= connections
+        && (!endpoint.is_cold(now)
+            || (endpoint.may_get_cold_request(now) && is_cold_sender(core, endpoint, now)))
+}
+
+/// Whether this VM is one of those that send to a cold upstream.
+fn is_cold_sender(core: &Core, endpoint: &Endpoint, now: Millis) -> bool {
+    endpoint.is_cold_sender(now, || {
+        let members = core.members.borrow();
+        let vms = members.alive(now).map(|member| member.vm.as_ref());
+        warmup::is_sender(&endpoint.entry.id, &core.settings().vm, now - core.started, vms)
+    })
 }
--- a/components/gateway/src/upstreams.rs
+++ b/components/gateway/src/upstreams.rs
@@ -170,11 +170,14 @@
 
     /// The network latency that a response from `region` adds for a VM in `own`.
     pub fn network_latency(&self, own: &str, region: Option<&str>) -> Millis {
-        if region == Some(own) {
-            return Millis::ZERO;
-        }
-        let mean = region.and_then(|region| self.round_trip_ms.get(region));
-        mean.map_or(DEFAULT_NETWORK_LATENCY, |mean| Millis(*mean as u64))
+        self.network_latencies(own).to(region)
+    }
+
+    /// The network latencies that responses add for a VM in `own`.
+    pub fn network_latencies<'a>(&'a self, own: &'a str) -> NetworkLatencies<'a> {
+        let means = self.round_trip_ms.iter();
+        let means = means.map(|(region, mean)| (region.as_ref(), Millis(*mean as u64)));
+        NetworkLatencies { own, means: means.collect() }
     }
 
     /// Records the service time of a request that was not queued at the upstream; `assigned` is
@@ -197,6 +200,23 @@
     }
 }
 
+/// Network latencies by region; there are few regions.
+pub struct NetworkLatencies<'a> {
+    own: &'a str,
+    means: Vec<(&'a str, Millis)>,
+}
+
+impl NetworkLatencies<'_> {
+    /// The latency that a response from `region` adds.
+    pub fn to(&self, region: Option<&str>) -> Millis {
+        if region == Some(self.own) {
+            return Millis::ZERO;
+        }
+        let mean = self.means.iter().find(|(name, _)| Some(*name) == region);
+        mean.map_or(DEFAULT_NETWORK_LATENCY, |(_, mean)| *mean)
+    }
+}
+
 fn add_sample(mean: &mut f64, value: Millis) {
     *mean += (value.0 as f64 - *mean) * SAMPLE_WEIGHT;
 }
--- a/components/steering/src/affinity.rs
+++ b/components/steering/src/affinity.rs
@@ -117,10 +117,8 @@
     demand: &Demand,
     policy: &Policy,
 ) -> Result<Choice, Full> {
-    let mut local = rank(candidates, demand.object, true);
-    let mut remote = rank(candidates, demand.object, false);
-    local.truncate(policy.preferred);
-    remote.truncate(policy.preferred_elsewhere);
+    let local = rank(candidates, demand.object, true, policy.preferred);
+    let remote = rank(candidates, demand.object, false, policy.preferred_elsewhere);
     let is_free = |index: &usize| has_free_slot(&candidates[*index]);
     if let Some(index) = local.iter().copied().find(is_free) {
         return Ok(choice(candidates, index, demand, Reason::Preferred));
@@ -143,15 +141,23 @@
     spilled.ok_or_else(|| full(candidates, demand.service_time))
 }
 
-/// An object's ranking of the upstreams inside or outside its assigned region, ejected ones last.
-fn rank(candidates: &[Candidate<'_>], object: u64, assigned: bool) -> Vec<usize> {
+/// The first `count` of an object's ranking of the upstreams inside or outside its assigned region,
+/// in which ejected ones come last. There may be very many upstreams, so that only the first ones are
+/// sorted.
+fn rank(candidates: &[Candidate<'_>], object: u64, assigned: bool, count: usize) -> Vec<usize> {
     let indices = (0..candidates.len()).filter(|index| candidates[*index].assigned == assigned);
-    let mut order: Vec<(bool, u64, usize)> = indices
-        .map(|index| {
-            let candidate = &candidates[index];
-            (candidate.ejected, !xxh3_64_with_seed(candidate.id.as_bytes(), object), index)
-        })
-        .collect();
+    let key = |index: usize| {
+        let candidate = &candidates[index];
+        (candidate.ejected, !xxh3_64_with_seed(candidate.id.as_bytes(), object), index)
+    };
+    if count == 1 {
+        return indices.map(key).min().into_iter().map(|(_, _, index)| index).collect();
+    }
+    let mut order: Vec<(bool, u64, usize)> = indices.map(key).collect();
+    if count < order.len() {
+        order.select_nth_unstable(count);
+        order.truncate(count);
+    }
     order.sort_unstable();
     order.into_iter().map(|(_, _, index)| index).collect()
 }
--- a/components/steering/src/warmup.rs
+++ b/components/steering/src/warmup.rs
@@ -23,8 +23,9 @@
     if age < DISCOVERY_TIME {
         return false;
     }
-    let own = rank(id, vm);
-    vms.filter(|other| *other != vm && rank(id, other) > own).count() < SENDERS
+    let seed = xxh3_64_with_seed(id.as_bytes(), 0);
+    let own = rank(seed, vm);
+    vms.filter(|other| *other != vm && rank(seed, other) > own).count() < SENDERS
 }
 
 /// The time between two requests of one sender to an upstream that bears `rate` requests a second.
@@ -36,6 +37,7 @@
     Millis((1000.0 / own).ceil() as u64)
 }
 
-fn rank(id: &str, vm: &str) -> u64 {
-    xxh3_64_with_seed(vm.as_bytes(), xxh3_64_with_seed(id.as_bytes(), 0))
+/// The rank of a VM as a sender to the upstream whose id hashes to `seed`.
+fn rank(seed: u64, vm: &str) -> u64 {
+    xxh3_64_with_seed(vm.as_bytes(), seed)
 }
