Date heartbeats by the age of their counters, and ask VMs that seem silent

Cause: a heartbeat summarised 100 VMs, whatever the size of the fleet. And a counter that was passed on late, hop by hop, kept a dead VM alive in some views for over 6 s after its end.

Change: each counter is passed on with its age, so that all VMs count from the same moment. A VM that is silent for 2 s is asked for a heartbeat before it counts as dead at 3 s. A heartbeat summarises two thirds of a fleet of over 150 VMs, at most 300. VMs of earlier versions ignore the ages, and count as sending fresh news.

--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use steering::catalogue::{Feed, MAX_REVISION};
 use steering::echo::{Echo, Stamp};
-use steering::membership::{Member, Summary};
+use steering::membership::{Member, Summary, summary_count};
 use steering::pressure::Pressure;
 use steering::readers::Role;
 use steering::staleness::{Claim, Standing};
@@ -26,10 +26,10 @@
 const MIN_INTERVAL: Millis = Millis(50);
 /// Peers that get a heartbeat in each round.
 const FAN_OUT: usize = 3;
-/// Peers that a heartbeat describes in full; with [`SUMMARIES`] more, it fits into one packet.
+/// Peers that a heartbeat describes in full.
 const FULL_MEMBERS: usize = 3;
-/// Peers that a heartbeat summarises, in about 8 bytes each.
-const SUMMARIES: usize = 100;
+/// The unit of the ages in heartbeats.
+const AGE_UNIT: Millis = Millis(50);
 /// Peers that one datagram to a VM that has just joined describes in full.
 const JOIN_MEMBERS: usize = 8;
 /// Up to this number of live peers, every round also sends to the seeds; with more, every eighth
@@ -92,6 +92,33 @@
     const NONE: View = View { live: None, requests_members: false };
 }
 
+/// What follows a [`View`] in the same datagram: the time since the counter of each VM increased, in
+/// [`AGE_UNIT`]s, rounded up. VMs of earlier versions don't say, and count as fresh.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Ages {
+    /// Of the members in their order; the sender's is zero.
+    members: Vec<u8>,
+    /// Of the summaries in their order.
+    summaries: Vec<u8>,
+}
+
+impl Ages {
+    /// The age at an index, in milliseconds.
+    fn at(ages: &[u8], index: usize) -> Millis {
+        Millis(u64::from(ages.get(index).copied().unwrap_or_default()) * AGE_UNIT.0)
+    }
+
+    fn encode(age: Millis) -> u8 {
+        age.0.div_ceil(AGE_UNIT.0).try_into().unwrap_or(u8::MAX)
+    }
+}
+
+/// An encoded heartbeat without the parts that depend on its receiver.
+struct Message {
+    bytes: Vec<u8>,
+    ages: Ages,
+}
+
 /// A revision that a peer has and this VM lacks.
 #[derive(Clone, Debug)]
 pub struct NewerRevision {
@@ -138,12 +165,29 @@
             core.settings().seeds.iter().filter(|seed| **seed != core.settings().listen.heartbeats),
         );
     }
+    let live = alive.len();
     alive.shuffle(&mut rand::rng());
     alive.truncate(FULL_MEMBERS);
-    let summaries = core.members.borrow().summaries(SUMMARIES, now, &mut rand::rng());
-    let bytes = encode(core, alive, &summaries, false);
+    let summaries = {
+        let members = core.members.borrow();
+        members.summaries(summary_count(live), now, &mut rand::rng())
+    };
+    let message = encode(core, alive, &summaries, false);
     for target in targets {
-        send_to(core, socket, &bytes, target).await;
+        send_to(core, socket, &message, target).await;
+    }
+    ask_suspects(core, socket, now).await;
+}
+
+/// Requests a heartbeat from each VM that is about to count as dead.
+async fn ask_suspects(core: &Core, socket: &UdpSocket, now: Millis) {
+    let suspects = core.members.borrow_mut().suspects(now);
+    if suspects.is_empty() {
+        return;
+    }
+    let message = encode(core, Vec::new(), &[], true);
+    for suspect in suspects {
+        send_to(core, socket, &message, suspect).await;
     }
 }
 
@@ -168,8 +212,8 @@
 }
 
 /// Sends an encoded heartbeat, with its timing for `target` and this VM's view.
-async fn send_to(core: &Core, socket: &UdpSocket, bytes: &[u8], target: SocketAddr) {
-    send_with(core, socket, bytes, target, false).await;
+async fn send_to(core: &Core, socket: &UdpSocket, message: &Message, target: SocketAddr) {
+    send_with(core, socket, message, target, false).await;
 }
 
 /// Sends an encoded heartbeat; `requests_members` is whether `target` shall send all VMs that it
@@ -177,11 +221,11 @@
 async fn send_with(
     core: &Core,
     socket: &UdpSocket,
-    bytes: &[u8],
+    message: &Message,
     target: SocketAddr,
     requests_members: bool,
 ) {
-    let mut datagram = bytes.to_vec();
+    let mut datagram = message.bytes.clone();
     let live = core.reference_count();
     let view = View { live, requests_members };
     let timing = {
@@ -189,11 +233,12 @@
         Timing { stamp: echoes.stamp(now), echo: echoes.echo(target, now) }
     };
     let encoded = rmp_serde::encode::write(&mut datagram, &timing)
-        .and_then(|()| rmp_serde::encode::write(&mut datagram, &view));
+        .and_then(|()| rmp_serde::encode::write(&mut datagram, &view))
+        .and_then(|()| rmp_serde::encode::write(&mut datagram, &message.ages));
     if let Err(error) = encoded {
         log::error!(
             target: "heartbeat", cause:% = error;
-            "can't encode the timing and view of a heartbeat; not sending it"
+            "can't encode the timing, view and ages of a heartbeat; not sending it"
         );
         return;
     }
@@ -224,10 +269,10 @@
             }
         };
         match decode(&buffer[..length]) {
-            Ok((heartbeat, extension, timing, view)) => {
+            Ok((heartbeat, extension, timing, view, ages)) => {
                 let sender = heartbeat.members.first().cloned();
                 let made = sender.as_ref().and_then(|sender| date(&core, sender, timing?));
-                let joined = apply(&core, heartbeat, &extension, made, &on_newer);
+                let joined = apply(&core, heartbeat, &extension, &ages, made, &on_newer);
                 if let Some(joined) = joined {
                     send_members(&core, &socket, joined).await;
                 }
@@ -236,13 +281,13 @@
                         send_members(&core, &socket, sender.heartbeats).await;
                     }
                     if lacks_members(&core, view) {
-                        let bytes = encode(&core, Vec::new(), &[], false);
-                        send_with(&core, &socket, &bytes, sender.heartbeats, true).await;
+                        let message = encode(&core, Vec::new(), &[], false);
+                        send_with(&core, &socket, &message, sender.heartbeats, true).await;
                     }
                     let known = core.members.borrow().superseding(&sender).cloned();
                     if extension.requests_reply || known.is_some() {
-                        let bytes = encode(&core, known.into_iter().collect(), &[], false);
-                        send_to(&core, &socket, &bytes, sender.heartbeats).await;
+                        let message = encode(&core, known.into_iter().collect(), &[], false);
+                        send_to(&core, &socket, &message, sender.heartbeats).await;
                     }
                 }
             }
@@ -285,6 +330,7 @@
     core: &Core,
     heartbeat: Heartbeat,
     extension: &Extension,
+    ages: &Ages,
     made: Option<Millis>,
     on_newer: &OnNewer,
 ) -> Option<SocketAddr>
@@ -298,7 +344,8 @@
     for (position, member) in heartbeat.members.into_iter().enumerate() {
         let vm = Arc::clone(&member.vm);
         supersede_own(core, &member);
-        if core.members.borrow_mut().update(member, now) {
+        let age = Ages::at(&ages.members, position);
+        if core.members.borrow_mut().update(member, age, now) {
             log::info!(target: "belief", vm = vm.as_ref(); "entry VM alive");
             joined = joined.or((position == 0).then_some(heartbeats));
         }
@@ -306,8 +353,9 @@
     if let Some((start, end)) = heartbeat.contact {
         core.merge_store_uptime(Uptime { start: now - Millis(start), end: now - Millis(end) });
     }
-    for summary in heartbeat.summaries {
-        if let Some(vm) = core.members.borrow_mut().update_summary(summary, now) {
+    for (position, summary) in heartbeat.summaries.into_iter().enumerate() {
+        let age = Ages::at(&ages.summaries, position);
+        if let Some(vm) = core.members.borrow_mut().update_summary(summary, age, now) {
             log::info!(target: "belief", vm = vm.as_ref(); "entry VM alive");
         }
     }
@@ -362,7 +410,7 @@
 }
 
 /// The parts of a datagram.
-type Datagram = (Heartbeat, Extension, Option<Timing>, View);
+type Datagram = (Heartbeat, Extension, Option<Timing>, View, Ages);
 
 /// Decodes a datagram.
 fn decode(bytes: &[u8]) -> Result<Datagram, rmp_serde::decode::Error> {
@@ -371,7 +419,8 @@
     let extension = optional(Extension::deserialize(&mut decoder))?.unwrap_or(Extension::NONE);
     let timing = optional(Timing::deserialize(&mut decoder))?;
     let view = optional(View::deserialize(&mut decoder))?.unwrap_or(View::NONE);
-    Ok((heartbeat, extension, timing, view))
+    let ages = optional(Ages::deserialize(&mut decoder))?.unwrap_or_default();
+    Ok((heartbeat, extension, timing, view, ages))
 }
 
 /// A part that VMs of earlier versions don't send.
@@ -387,7 +436,20 @@
 
 /// Encodes a heartbeat with this VM, `peers` in full and `summaries`; `requests_reply` is whether
 /// the receiver shall send one in return.
-fn encode(core: &Core, peers: Vec<Member>, summaries: &[Summary], requests_reply: bool) -> Vec<u8> {
+fn encode(
+    core: &Core,
+    peers: Vec<Member>,
+    summaries: &[(Summary, Millis)],
+    requests_reply: bool,
+) -> Message {
+    let member_ages = {
+        let (members, now) = (core.members.borrow(), core.clock.now());
+        let peers = peers.iter().map(|peer| Ages::encode(members.age(&peer.vm, now)));
+        Ages {
+            members: std::iter::once(0).chain(peers).collect(),
+            summaries: summaries.iter().map(|(_, age)| Ages::encode(*age)).collect(),
+        }
+    };
     let own = {
         let mut own = core.own_member.borrow_mut();
         own.counter += 1;
@@ -403,7 +465,7 @@
     let ages = Feed::ALL.map(|feed| core.confirmed_age(feed).map(|age| age.0));
     let now = core.clock.now();
     let contact = core.store_uptime.get().map(|known| ((now - known.start).0, (now - known.end).0));
-    let summaries = summaries.to_vec();
+    let summaries = summaries.iter().map(|(summary, _)| *summary).collect();
     let heartbeat = Heartbeat { members, summaries, revisions, ages, contact };
     let complete_after = Feed::ALL.map(|feed| match catalogue.is_listed(feed) {
         true => catalogue.complete_after(feed),
@@ -420,7 +482,7 @@
         );
         bytes.clear();
     }
-    bytes
+    Message { bytes, ages: member_ages }
 }
 
 /// Removes and logs peers whose heartbeats have ceased.
--- a/components/gateway/tests/lookups.rs
+++ b/components/gateway/tests/lookups.rs
@@ -116,3 +116,24 @@
     })
     .await;
 }
+
+/// Guards against live VMs that look-ups leave out: in a large fleet, their heartbeats aren't always
+/// forwarded to everybody in time.
+#[tokio::test]
+async fn a_vm_that_seems_silent_is_asked_before_it_counts_as_dead() {
+    run_test(async |world| {
+        let (_upstream, a) = world.serving().await;
+        let mut probe = Probe::open(&world, "probe").await;
+        probe.set_ready();
+        let address = probe.member().callers.to_string();
+        probe.introduce(a.heartbeats(), &[]).await;
+        let is_named = async || a.look_up("r1").await.contains(&address);
+        until(is_named).await;
+        probe.answer_request(a.heartbeats()).await;
+        tokio::time::sleep(SUSPENSION.duration() / 2).await;
+        assert!(is_named().await);
+        // It answers no more.
+        until(async || !is_named().await).await;
+    })
+    .await;
+}
--- a/components/gateway/tests/world/probe.rs
+++ b/components/gateway/tests/world/probe.rs
@@ -77,6 +77,26 @@
         }
     }
 
+    /// Says from now on that look-ups may name the probe.
+    pub fn set_ready(&mut self) {
+        self.member.ready = true;
+    }
+
+    /// Waits until the VM requests a heartbeat, and sends one.
+    pub async fn answer_request(&mut self, vm: SocketAddr) {
+        let mut buffer = [0; 4_096];
+        loop {
+            let (length, from) = self.socket.recv_from(&mut buffer).await.unwrap();
+            let mut decoder = rmp_serde::Deserializer::from_read_ref(&buffer[..length]);
+            let _: Heartbeat = serde::Deserialize::deserialize(&mut decoder).unwrap();
+            let extension: Extension = serde::Deserialize::deserialize(&mut decoder).unwrap();
+            if from == vm && extension.1 {
+                self.send(vm, [0; 2], [None; 2], false).await;
+                return;
+            }
+        }
+    }
+
     /// The description that the probe sends of itself.
     pub fn member(&self) -> Member {
         self.member.clone()
--- a/components/steering/src/membership.rs
+++ b/components/steering/src/membership.rs
@@ -1,7 +1,8 @@
 //! Tracks which entry VMs are alive, by heartbeats that peers forward to each other.
 //!
-//! A VM counts as alive while its heartbeat counter increases, whichever peer forwards it, so
-//! neither clocks nor the age of a message matter. See docs/DATAPATH.md, "Membership".
+//! A VM counts as alive while its heartbeat counter increases, whichever peer forwards it. Peers say
+//! how long ago it did, so that a counter which is forwarded late keeps no dead VM alive. A VM that
+//! seems silent is asked before it counts as dead. See docs/DATAPATH.md, "Membership".
 
 use clock::Millis;
 use rand::Rng;
@@ -13,6 +14,29 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// The part of the time without heartbeats until death after which a VM is asked for one. Its
+/// heartbeats may just not have been forwarded to this VM.
+const SUSPECT_PART: (u64, u64) = (2, 3);
+/// Least time between two requests to one VM.
+const PROBE_INTERVAL: Millis = Millis(400);
+/// VMs that are asked for a heartbeat at a time; after the loss of most VMs, those that are left ask
+/// the next ones in their next round.
+const MAX_SUSPECTS: usize = 256;
+
+/// VMs that a heartbeat summarises in a small fleet, in about 10 bytes each.
+const MIN_SUMMARIES: usize = 100;
+/// The part of a large fleet that a heartbeat summarises. With less, more has to be sent to ask VMs
+/// whether they are alive than summaries save; docs/CAPACITY.md has the figures.
+const SUMMARY_PART: (usize, usize) = (2, 3);
+/// Most VMs that a heartbeat summarises, since a datagram is limited to 4 KB.
+const MAX_SUMMARIES: usize = 300;
+
+/// The number of VMs that a heartbeat summarises in a fleet of `live` VMs.
+pub fn summary_count(live: usize) -> usize {
+    let (part, whole) = SUMMARY_PART;
+    (live * part / whole).clamp(MIN_SUMMARIES, MAX_SUMMARIES)
+}
+
 /// An entry VM's description of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -79,6 +103,8 @@
 struct Known {
     member: Member,
     advanced: Millis,
+    /// When a heartbeat was last requested from it.
+    probed: Option<Millis>,
 }
 
 impl Members {
@@ -88,17 +114,19 @@
         Members { own, known: HashMap::new(), names: HashMap::new(), dead_after, forget_after }
     }
 
-    /// Takes over a VM's description if it is newer; returns true if the VM was unknown, dead or
-    /// has restarted.
-    pub fn update(&mut self, member: Member, now: Millis) -> bool {
-        if member.vm == self.own {
+    /// Takes over a VM's description if it is newer; returns true if the VM is alive and was unknown,
+    /// dead or has restarted. `age` is the time since its counter increased.
+    pub fn update(&mut self, member: Member, age: Millis, now: Millis) -> bool {
+        let dead_after = self.dead_after;
+        if member.vm == self.own || age >= dead_after {
             return false;
         }
-        let dead_after = self.dead_after;
+        let advanced = now - age;
         let key = member.key();
         let Some(known) = self.known.get_mut(&member.vm) else {
             self.names.insert(key, Arc::clone(&member.vm));
-            self.known.insert(Arc::clone(&member.vm), Known { member, advanced: now });
+            let known = Known { member, advanced, probed: None };
+            self.known.insert(Arc::clone(&known.member.vm), known);
             return true;
         };
         let position = (known.member.incarnation, known.member.counter);
@@ -109,7 +137,8 @@
         let was_dead = known.advanced + dead_after <= now;
         self.names.remove(&known.member.key());
         self.names.insert(key, Arc::clone(&member.vm));
-        *known = Known { member, advanced: now };
+        let advanced = if is_new { advanced } else { advanced.max(known.advanced) };
+        *known = Known { member, advanced, probed: None };
         is_new || was_dead
     }
 
@@ -120,24 +149,39 @@
         (known.incarnation > member.incarnation).then_some(known)
     }
 
-    /// Takes over a summary if it is newer; returns the name of the VM if it counted as dead.
-    /// Summaries of a VM whose description has not arrived are ignored.
-    pub fn update_summary(&mut self, summary: Summary, now: Millis) -> Option<Arc<str>> {
+    /// Takes over a summary if it is newer; returns the name of the VM if it is alive and counted as
+    /// dead. `age` is the time since its counter increased. Summaries of a VM whose description has
+    /// not arrived are ignored.
+    pub fn update_summary(
+        &mut self,
+        summary: Summary,
+        age: Millis,
+        now: Millis,
+    ) -> Option<Arc<str>> {
+        if age >= self.dead_after {
+            return None;
+        }
         let known = self.known.get_mut(self.names.get(&summary.key)?)?;
         if summary.counter <= known.member.counter {
             return None;
         }
         let was_dead = known.advanced + self.dead_after <= now;
-        known.advanced = now;
+        known.advanced = known.advanced.max(now - age);
         known.member.counter = summary.counter;
         known.member.ready = summary.ready;
         known.member.pressed = summary.pressed;
         was_dead.then(|| Arc::clone(&known.member.vm))
     }
 
-    /// Summaries of up to `max` live VMs. Half of them are those whose counters increased last,
-    /// which are new to most peers; the others are drawn at random.
-    pub fn summaries<Random>(&self, max: usize, now: Millis, random: &mut Random) -> Vec<Summary>
+    /// Summaries of up to `max` live VMs, each with the time since its counter increased. Half of them
+    /// are those whose counters increased last, which are new to most peers; the others are drawn at
+    /// random.
+    pub fn summaries<Random>(
+        &self,
+        max: usize,
+        now: Millis,
+        random: &mut Random,
+    ) -> Vec<(Summary, Millis)>
     where
         Random: Rng,
     {
@@ -149,7 +193,12 @@
             alive[max / 2..].shuffle(random);
             alive.truncate(max);
         }
-        alive.into_iter().map(|known| known.member.summary()).collect()
+        alive.into_iter().map(|known| (known.member.summary(), now - known.advanced)).collect()
+    }
+
+    /// The time since the counter of a VM increased; zero if it isn't known.
+    pub fn age(&self, vm: &str, now: Millis) -> Millis {
+        self.known.get(vm).map_or(Millis::ZERO, |known| now - known.advanced)
     }
 
     /// The other VMs that are alive.
@@ -163,6 +212,26 @@
         self.active_within(now, self.forget_after).count()
     }
 
+    /// The addresses of the VMs that are about to count as dead, to request a heartbeat from each.
+    /// Those that have been silent for longest come first.
+    pub fn suspects(&mut self, now: Millis) -> Vec<SocketAddr> {
+        let (part, whole) = SUSPECT_PART;
+        let suspect_after = Millis(self.dead_after.0 * part / whole);
+        let is_suspect = |known: &&mut Known| {
+            known.advanced + suspect_after <= now
+                && now < known.advanced + self.dead_after
+                && known.probed.is_none_or(|probed| probed + PROBE_INTERVAL <= now)
+        };
+        let mut suspects: Vec<&mut Known> = self.known.values_mut().filter(is_suspect).collect();
+        suspects.sort_unstable_by_key(|known| known.advanced);
+        suspects.truncate(MAX_SUSPECTS);
+        let probe = |known: &mut Known| {
+            known.probed = Some(now);
+            known.member.heartbeats
+        };
+        suspects.into_iter().map(probe).collect()
+    }
+
     /// Forgets the VMs that have been dead for long; returns the names of those that died after
     /// `since`.
     pub fn expire(&mut self, now: Millis, since: Millis) -> Vec<Arc<str>> {
--- a/components/steering/tests/fleetwide.rs
+++ b/components/steering/tests/fleetwide.rs
@@ -149,19 +149,19 @@
 #[test]
 fn a_vm_is_alive_while_its_heartbeat_counter_increases() {
     let mut members = Members::new("own".into(), Millis(3_000), Millis(15_000));
-    assert!(members.update(member("a", 1, 1), Millis(0)));
-    assert!(!members.update(member("own", 1, 1), Millis(0)), "a VM ignores itself");
+    assert!(members.update(member("a", 1, 1), Millis::ZERO, Millis(0)));
+    assert!(!members.update(member("own", 1, 1), Millis::ZERO, Millis(0)), "a VM ignores itself");
     // Peers still forward a dead VM; its counter stands still.
     for at in 1..40 {
-        members.update(member("a", 1, 1), Millis(at * 100));
+        members.update(member("a", 1, 1), Millis::ZERO, Millis(at * 100));
     }
     assert_eq!(members.alive(Millis(2_999)).count(), 1);
     assert_eq!(members.alive(Millis(3_000)).count(), 0);
     assert_eq!(members.recent(Millis(3_000)), 1, "it may still have spent its share");
     assert_eq!(members.expire(Millis(3_100), Millis(2_600)), ["a".into()]);
     // It restarts; messages of its previous incarnation are ignored.
-    assert!(members.update(member("a", 2, 1), Millis(3_200)));
-    assert!(!members.update(member("a", 1, 99), Millis(3_300)));
+    assert!(members.update(member("a", 2, 1), Millis::ZERO, Millis(3_200)));
+    assert!(!members.update(member("a", 1, 99), Millis::ZERO, Millis(3_300)));
     assert_eq!(members.alive(Millis(6_199)).count(), 1);
     assert_eq!(members.alive(Millis(6_200)).count(), 0);
 }
@@ -169,14 +169,14 @@
 #[test]
 fn a_vm_with_an_older_incarnation_is_told_of_the_known_one() {
     let mut members = Members::new("own".into(), Millis(3_000), Millis(15_000));
-    members.update(member("a", 100, 50), Millis(0));
+    members.update(member("a", 100, 50), Millis::ZERO, Millis(0));
     assert!(members.superseding(&member("a", 100, 1)).is_none());
     assert!(members.superseding(&member("b", 1, 1)).is_none(), "nothing is known of it");
     let restarted = member("a", 40, 1);
-    assert!(!members.update(restarted.clone(), Millis(500)));
+    assert!(!members.update(restarted.clone(), Millis::ZERO, Millis(500)));
     let known = members.superseding(&restarted).unwrap().incarnation;
     assert_eq!(known, 100);
-    assert!(members.update(member("a", known + 1, 2), Millis(600)));
+    assert!(members.update(member("a", known + 1, 2), Millis::ZERO, Millis(600)));
     assert_eq!(members.alive(Millis(3_500)).count(), 1);
 }
 
@@ -196,7 +196,7 @@
             .collect();
         for view in &mut views {
             for name in &names {
-                view.update(member(name, 1, 1), Millis(0));
+                view.update(member(name, 1, 1), Millis::ZERO, Millis(0));
             }
         }
         for round in 1..=60 {
@@ -205,9 +205,9 @@
                 let summaries = views[from].summaries(SUMMARIES, now, &mut random);
                 for _ in 0..3 {
                     let to = random.random_range(0..fleet);
-                    views[to].update(member(&names[from], 1, round + 1), now);
-                    for summary in &summaries {
-                        views[to].update_summary(*summary, now);
+                    views[to].update(member(&names[from], 1, round + 1), Millis::ZERO, now);
+                    for (summary, _) in &summaries {
+                        views[to].update_summary(*summary, Millis::ZERO, now);
                     }
                 }
             }
@@ -225,15 +225,15 @@
 fn a_summary_updates_only_the_same_incarnation_of_a_known_vm() {
     let mut members = Members::new("own".into(), Millis(3_000), Millis(15_000));
     let mut sender = Members::new("sender".into(), Millis(3_000), Millis(15_000));
-    sender.update(member("a", 1, 5), Millis(0));
-    let summary = sender.summaries(10, Millis(0), &mut SmallRng::seed_from_u64(1))[0];
-    assert_eq!(members.update_summary(summary, Millis(0)), None);
+    sender.update(member("a", 1, 5), Millis::ZERO, Millis(0));
+    let summary = sender.summaries(10, Millis(0), &mut SmallRng::seed_from_u64(1))[0].0;
+    assert_eq!(members.update_summary(summary, Millis::ZERO, Millis(0)), None);
     assert_eq!(members.alive(Millis(0)).count(), 0, "its description has not arrived");
-    members.update(member("a", 1, 3), Millis(0));
-    assert_eq!(members.update_summary(summary, Millis(4_000)).as_deref(), Some("a"));
+    members.update(member("a", 1, 3), Millis::ZERO, Millis(0));
+    assert_eq!(members.update_summary(summary, Millis::ZERO, Millis(4_000)).as_deref(), Some("a"));
     assert_eq!(members.alive(Millis(6_500)).count(), 1);
-    members.update(member("a", 2, 1), Millis(7_500));
-    members.update_summary(Summary { counter: 9, ..summary }, Millis(10_400));
+    members.update(member("a", 2, 1), Millis::ZERO, Millis(7_500));
+    members.update_summary(Summary { counter: 9, ..summary }, Millis::ZERO, Millis(10_400));
     assert_eq!(
         members.alive(Millis(10_600)).count(),
         0,
