Send two of three heartbeats within the region

Change: of the three peers of a round, two are drawn from the VM's region.

Measured, in the model at 295 VMs without loss: 12.5 -> 7.9 kB a second and VM between regions, as few probes (7.0 -> 6.5 a second), nobody taken for dead; the same at 700.

--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use steering::catalogue::{Feed, MAX_REVISION};
 use steering::echo::{Echo, Stamp};
-use steering::membership::{Member, Summary, summary_count};
+use steering::membership::{Member, Summary, draw_targets, summary_count};
 use steering::pressure::Pressure;
 use steering::readers::Role;
 use steering::staleness::{Claim, Standing};
@@ -24,8 +24,6 @@
 const INTERVAL: Millis = Millis(500);
 /// Least time between two rounds, also after a change.
 const MIN_INTERVAL: Millis = Millis(50);
-/// Peers that get a heartbeat in each round.
-const FAN_OUT: usize = 3;
 /// Peers that a heartbeat describes in full.
 const FULL_MEMBERS: usize = 3;
 /// The unit of the ages in heartbeats.
@@ -158,8 +156,15 @@
     let mut alive: Vec<Member> = core.members.borrow().alive(now).cloned().collect();
     metrics::gauge!(telemetry::names::VMS, telemetry::names::STATE => "alive")
         .set(alive.len() as f64 + 1.0);
-    let mut targets: Vec<SocketAddr> =
-        alive.sample(&mut rand::rng(), FAN_OUT).map(|member| member.heartbeats).collect();
+    let mut targets = {
+        let settings = core.settings();
+        let is_near = |member: &&Member| {
+            settings.regions.get(&member.domain).is_some_and(|region| *region == settings.region)
+        };
+        let (near, far): (Vec<&Member>, Vec<&Member>) = alive.iter().partition(is_near);
+        let drawn = draw_targets(&near, &far, &mut rand::rng());
+        drawn.into_iter().map(|member| member.heartbeats).collect::<Vec<SocketAddr>>()
+    };
     if alive.len() <= FEW_PEERS || rand::random_ratio(1, 8) {
         targets.extend(
             core.settings().seeds.iter().filter(|seed| **seed != core.settings().listen.heartbeats),
--- a/components/steering/src/membership.rs
+++ b/components/steering/src/membership.rs
@@ -6,7 +6,7 @@
 
 use clock::Millis;
 use rand::Rng;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -37,6 +37,26 @@
     (live * part / whole).clamp(MIN_SUMMARIES, MAX_SUMMARIES)
 }
 
+/// Peers that get a heartbeat in each round.
+const FAN_OUT: usize = 3;
+/// How many of them are in the sender's region. Bytes between regions are scarce, and one heartbeat a
+/// round and VM carries news to the others soon enough.
+const NEAR_FAN_OUT: usize = 2;
+
+/// Draws the peers that get a heartbeat in a round, out of those in the sender's region and the others.
+pub fn draw_targets<'a, Peer, Random>(
+    near: &'a [Peer],
+    far: &'a [Peer],
+    random: &mut Random,
+) -> Vec<&'a Peer>
+where
+    Random: Rng,
+{
+    let far_count = (FAN_OUT - NEAR_FAN_OUT.min(near.len())).min(far.len());
+    let near_count = FAN_OUT - far_count;
+    near.sample(random, near_count).chain(far.sample(random, far_count)).collect()
+}
+
 /// An entry VM's description of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
--- a/components/steering/tests/membership_fleet.rs
+++ b/components/steering/tests/membership_fleet.rs
@@ -7,10 +7,10 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use steering::membership::{Member, Members, Summary, summary_count};
+use steering::membership::{Member, Members, Summary, draw_targets, summary_count};
 
 const INTERVAL: u64 = 500;
-const FAN_OUT: usize = 3;
+const REGIONS: usize = 3;
 const FULL_MEMBERS: usize = 3;
 const DEAD_AFTER: Millis = Millis(3_000);
 /// One way between the regions of the users' larger deployments.
@@ -44,6 +44,8 @@
     /// Probes and bytes sent by all VMs.
     probes: u64,
     bytes: u64,
+    /// The part of the bytes that crosses regions.
+    crossing: u64,
 }
 
 impl Fleet {
@@ -68,6 +70,7 @@
             random: SmallRng::seed_from_u64(seed),
             probes: 0,
             bytes: 0,
+            crossing: 0,
         };
         for vm in 0..size {
             let at = fleet.random.random_range(0..INTERVAL);
@@ -112,7 +115,12 @@
     fn round(&mut self, vm: usize) {
         let now = Millis(self.now);
         let alive: Vec<Member> = self.views[vm].alive(now).cloned().collect();
-        let targets: Vec<usize> = alive.sample(&mut self.random, FAN_OUT).map(index_of).collect();
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            alive.iter().partition(|member| index_of(member) % REGIONS == vm % REGIONS);
+        let targets: Vec<usize> = draw_targets(&near, &far, &mut self.random)
+            .into_iter()
+            .map(|member| index_of(member))
+            .collect();
         let described = alive.sample(&mut self.random, FULL_MEMBERS);
         let full: Vec<(Member, Millis)> =
             described.map(|member| (member.clone(), self.views[vm].age(&member.vm, now))).collect();
@@ -137,7 +145,9 @@
     ) {
         self.own[from].counter += 1;
         full.push((self.own[from].clone(), Millis::ZERO));
-        self.bytes += HEARTBEAT_BYTES + SUMMARY_BYTES * summaries.len() as u64;
+        let bytes = HEARTBEAT_BYTES + SUMMARY_BYTES * summaries.len() as u64;
+        self.bytes += bytes;
+        self.crossing += if from % REGIONS == to % REGIONS { 0 } else { bytes };
         if !self.random.random_bool(self.loss) {
             let event = Event::Heartbeat { from, to, full, summaries, asks };
             self.schedule(self.now + LATENCY, event);
@@ -200,9 +210,10 @@
         }
         let seconds = fleet.now as f64 / 1_000.0 * size as f64;
         println!(
-            "{size} VMs, {loss} lost: at most {worst} taken for dead, {:.1} probes/s, {:.0} bytes/s a VM",
+            "{size} VMs, {loss} lost: at most {worst} taken for dead, {:.1} probes/s, {:.0} bytes/s a VM, {:.0} to other regions",
             fleet.probes as f64 / seconds,
-            fleet.bytes as f64 / seconds
+            fleet.bytes as f64 / seconds,
+            fleet.crossing as f64 / seconds
         );
         assert!(worst <= most, "{size} VMs, {loss} lost: {worst} taken for dead");
     }
