--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -4,16 +4,17 @@
 //! own for VMs that are down, whereas a lost datagram is followed by the next one. See
 //! docs/DATAPATH.md, "Membership".
 
+mod message;
+
 use crate::core::Core;
 use clock::Millis;
+use message::{Ages, Extension, Heartbeat, Message, Timing, View, decode, encode};
 use rand::seq::{IndexedRandom, SliceRandom};
-use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use steering::catalogue::{Feed, MAX_REVISION};
-use steering::echo::{Echo, Stamp};
-use steering::membership::{Member, Summary, draw_targets, summary_count};
+use steering::membership::{Member, draw_targets, summary_count};
 use steering::pressure::Pressure;
 use steering::readers::Role;
 use steering::staleness::{Claim, Standing};
@@ -26,8 +27,6 @@
 const MIN_INTERVAL: Millis = Millis(50);
 /// Peers that a heartbeat describes in full.
 const FULL_MEMBERS: usize = 3;
-/// The unit of the ages in heartbeats.
-const AGE_UNIT: Millis = Millis(50);
 /// Peers that one datagram to a VM that has just joined describes in full.
 const JOIN_MEMBERS: usize = 8;
 /// Up to this number of live peers, every round also sends to the seeds; with more, every eighth
@@ -37,86 +36,6 @@
 const REQUEST_INTERVAL: Millis = Millis(250);
 const MAX_DATAGRAM_BYTES: usize = 4_096;
 
-/// A heartbeat.
-#[derive(Debug, Serialize, Deserialize)]
-struct Heartbeat {
-    /// The sender, then some of its peers.
-    members: Vec<Member>,
-    /// Summaries of more peers, since in a large deployment every VM must be refreshed within 3 s.
-    summaries: Vec<Summary>,
-    /// The newest revision of each feed that the sender has, or 0.
-    revisions: [u64; 2],
-    /// Time since the store confirmed that the sender's copy of each feed was up to date, in ms.
-    ages: [Option<u64>; 2],
-    /// Time since the start and the end of the latest span without a store outage, in ms.
-    contact: Option<(u64, u64)>,
-}
-
-/// What follows a [`Heartbeat`] in the same datagram. VMs of earlier versions don't read it.
-#[derive(Debug, Serialize, Deserialize)]
-struct Extension {
-    /// The sender knows all changes of each feed after these revisions.
-    complete_after: [u64; 2],
-    /// Whether the sender requests a heartbeat in return.
-    requests_reply: bool,
-}
-
-impl Extension {
-    /// What is assumed of a sender that doesn't say.
-    const NONE: Extension = Extension { complete_after: [u64::MAX; 2], requests_reply: false };
-}
-
-/// What follows an [`Extension`] in the same datagram. Without it, a heartbeat can't be dated, and
-/// confirms no copy.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Timing {
-    /// When the sender sent the heartbeat.
-    stamp: Stamp,
-    /// The receiver's stamp, if the sender knows one.
-    echo: Option<Echo>,
-}
-
-/// What follows a [`Timing`] in the same datagram: what the sender knows of the deployment's VMs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct View {
-    /// The live VMs that the sender knows, including itself, once it has converged.
-    live: Option<usize>,
-    /// Whether the sender requests all VMs that the receiver knows.
-    requests_members: bool,
-}
-
-impl View {
-    /// What is assumed of a sender that doesn't say.
-    const NONE: View = View { live: None, requests_members: false };
-}
-
-/// What follows a [`View`] in the same datagram: the time since the counter of each VM increased, in
-/// [`AGE_UNIT`]s, rounded up. VMs of earlier versions don't say, and count as fresh.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct Ages {
-    /// Of the members in their order; the sender's is zero.
-    members: Vec<u8>,
-    /// Of the summaries in their order.
-    summaries: Vec<u8>,
-}
-
-impl Ages {
-    /// The age at an index, in milliseconds.
-    fn at(ages: &[u8], index: usize) -> Millis {
-        Millis(u64::from(ages.get(index).copied().unwrap_or_default()) * AGE_UNIT.0)
-    }
-
-    fn encode(age: Millis) -> u8 {
-        age.0.div_ceil(AGE_UNIT.0).try_into().unwrap_or(u8::MAX)
-    }
-}
-
-/// An encoded heartbeat without the parts that depend on its receiver.
-struct Message {
-    bytes: Vec<u8>,
-    ages: Ages,
-}
-
 /// A revision that a peer has and this VM lacks.
 #[derive(Clone, Debug)]
 pub struct NewerRevision {
@@ -414,82 +333,6 @@
     }
 }
 
-/// The parts of a datagram.
-type Datagram = (Heartbeat, Extension, Option<Timing>, View, Ages);
-
-/// Decodes a datagram.
-fn decode(bytes: &[u8]) -> Result<Datagram, rmp_serde::decode::Error> {
-    let mut decoder = rmp_serde::Deserializer::from_read_ref(bytes);
-    let heartbeat = Heartbeat::deserialize(&mut decoder)?;
-    let extension = optional(Extension::deserialize(&mut decoder))?.unwrap_or(Extension::NONE);
-    let timing = optional(Timing::deserialize(&mut decoder))?;
-    let view = optional(View::deserialize(&mut decoder))?.unwrap_or(View::NONE);
-    let ages = optional(Ages::deserialize(&mut decoder))?.unwrap_or_default();
-    Ok((heartbeat, extension, timing, view, ages))
-}
-
-/// A part that VMs of earlier versions don't send.
-fn optional<Part>(
-    decoded: Result<Part, rmp_serde::decode::Error>,
-) -> Result<Option<Part>, rmp_serde::decode::Error> {
-    match decoded {
-        Ok(part) => Ok(Some(part)),
-        Err(rmp_serde::decode::Error::InvalidMarkerRead(_)) => Ok(None),
-        Err(error) => Err(error),
-    }
-}
-
-/// Encodes a heartbeat with this VM, `peers` in full and `summaries`; `requests_reply` is whether
-/// the receiver shall send one in return.
-fn encode(
-    core: &Core,
-    peers: Vec<Member>,
-    summaries: &[(Summary, Millis)],
-    requests_reply: bool,
-) -> Message {
-    let member_ages = {
-        let (members, now) = (core.members.borrow(), core.clock.now());
-        let peers = peers.iter().map(|peer| Ages::encode(members.age(&peer.vm, now)));
-        Ages {
-            members: std::iter::once(0).chain(peers).collect(),
-            summaries: summaries.iter().map(|(_, age)| Ages::encode(*age)).collect(),
-        }
-    };
-    let own = {
-        let mut own = core.own_member.borrow_mut();
-        own.counter += 1;
-        own.ready = core.is_ready();
-        own.clone()
-    };
-    let members = std::iter::once(own).chain(peers).collect();
-    let catalogue = core.catalogue.borrow();
-    let revisions = Feed::ALL.map(|feed| match catalogue.is_listed(feed) {
-        true => catalogue.newest_revision(feed),
-        false => 0,
-    });
-    let ages = Feed::ALL.map(|feed| core.confirmed_age(feed).map(|age| age.0));
-    let now = core.clock.now();
-    let contact = core.store_uptime.get().map(|known| ((now - known.start).0, (now - known.end).0));
-    let summaries = summaries.iter().map(|(summary, _)| *summary).collect();
-    let heartbeat = Heartbeat { members, summaries, revisions, ages, contact };
-    let complete_after = Feed::ALL.map(|feed| match catalogue.is_listed(feed) {
-        true => catalogue.complete_after(feed),
-        false => u64::MAX,
-    });
-    let extension = Extension { complete_after, requests_reply };
-    let mut bytes = Vec::new();
-    let encoded = rmp_serde::encode::write(&mut bytes, &heartbeat)
-        .and_then(|()| rmp_serde::encode::write(&mut bytes, &extension));
-    if let Err(error) = encoded {
-        log::error!(
-            target: "heartbeat", cause:% = error;
-            "can't encode a heartbeat; sending an empty datagram"
-        );
-        bytes.clear();
-    }
-    Message { bytes, ages: member_ages }
-}
-
 /// Removes and logs peers whose heartbeats have ceased.
 fn expire_members(core: &Core, now: Millis) {
     for vm in core.members.borrow_mut().expire(now, now - INTERVAL) {
