--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod changes;
 mod core;
+mod delivery;
 mod protocol;
 
 mod connection;
