--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -54,21 +54,36 @@
 /// Sends heartbeats until the process ends.
 pub async fn send(core: Rc<Core>, socket: Rc<UdpSocket>) {
     let mut pressure = Pressure::default();
+    let mut next_full = core.clock.now();
     loop {
-        send_round(&core, &socket).await;
+        let started = core.clock.now();
+        let round = if started >= next_full { Round::Full } else { Round::Brief };
+        if round == Round::Full {
+            next_full = started + INTERVAL;
+        }
+        send_round(&core, &socket, round).await;
         let started = core.clock.now();
         core.clock.sleep(MIN_INTERVAL).await;
         let now = core.clock.now();
         core.own_member.borrow_mut().pressed = pressure.record(now - started - MIN_INTERVAL, now);
         tokio::select! {
-            () = core.clock.sleep(INTERVAL - MIN_INTERVAL) => {}
+            () = core.clock.sleep_until(next_full) => {}
             () = core.state_changed.notified() => {}
         }
     }
 }
 
+/// What the heartbeats of a round contain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Round {
+    /// This VM and what it knows of others.
+    Full,
+    /// This VM only. Changes come in quick succession, and each tells peers of the new revision.
+    Brief,
+}
+
 /// Sends one round of heartbeats.
-pub async fn send_round(core: &Core, socket: &UdpSocket) {
+pub async fn send_round(core: &Core, socket: &UdpSocket, round: Round) {
     core.record_round();
     let now = core.clock.now();
     expire_members(core, now);
@@ -89,13 +104,13 @@
             core.settings().seeds.iter().filter(|seed| **seed != core.settings().listen.heartbeats),
         );
     }
-    let live = alive.len();
-    alive.shuffle(&mut rand::rng());
-    alive.truncate(FULL_MEMBERS);
-    let summaries = {
-        let members = core.members.borrow();
-        members.summaries(summary_count(live), now, &mut rand::rng())
+    let (described, summarised) = match round {
+        Round::Full => (FULL_MEMBERS, summary_count(alive.len())),
+        Round::Brief => (0, 0),
     };
+    alive.shuffle(&mut rand::rng());
+    alive.truncate(described);
+    let summaries = core.members.borrow().summaries(summarised, now, &mut rand::rng());
     let message = encode(core, alive, &summaries, false);
     for target in targets {
         send_to(core, socket, &message, target).await;
--- a/components/gateway/src/process.rs
+++ b/components/gateway/src/process.rs
@@ -2,6 +2,7 @@
 
 use crate::changes::Puller;
 use crate::core::{self, Core, Phase};
+use crate::heartbeat::Round;
 use crate::{
     Protocol, Settings, Source, changes, connection, follow, heartbeat, inbound, lookup,
     simple_http,
@@ -108,7 +109,7 @@
         let deadline = started + core.settings().bounds.grace - GRACE_MARGIN;
         core.stop_deadline.set(Some(deadline));
         core.phase.send_replace(Phase::Stopping);
-        heartbeat::send_round(&core, &heartbeats).await;
+        heartbeat::send_round(&core, &heartbeats, Round::Brief).await;
         clock.sleep(ACCEPT_SPAN).await;
         accepting.abort();
         core.phase.send_replace(Phase::Closing);
