--- a/components/gateway/src/heartbeat.rs
+++ b/components/gateway/src/heartbeat.rs
@@ -116,11 +116,11 @@
     for target in targets {
         send_to(core, socket, &message, target).await;
     }
-    ask_suspects(core, socket, now).await;
+    request_from_suspects(core, socket, now).await;
 }
 
 /// Requests a heartbeat from each VM that is about to count as dead.
-async fn ask_suspects(core: &Core, socket: &UdpSocket, now: Millis) {
+async fn request_from_suspects(core: &Core, socket: &UdpSocket, now: Millis) {
     let suspects = core.members.borrow_mut().suspects(now);
     if suspects.is_empty() {
         return;
--- a/components/gateway/tests/lookups.rs
+++ b/components/gateway/tests/lookups.rs
@@ -120,7 +120,7 @@
 /// Guards against live VMs that look-ups leave out: in a large fleet, their heartbeats aren't always
 /// forwarded to everybody in time.
 #[tokio::test]
-async fn a_vm_that_seems_silent_is_asked_before_it_counts_as_dead() {
+async fn a_heartbeat_is_requested_of_a_vm_that_seems_silent_before_it_counts_as_dead() {
     run_test(async |world| {
         let (_upstream, a) = world.serving().await;
         let mut probe = Probe::open(&world, "probe").await;
@@ -132,7 +132,7 @@
         probe.answer_request(a.heartbeats()).await;
         tokio::time::sleep(SUSPENSION.duration() / 2).await;
         assert!(is_named().await);
-        // It answers no more.
+        // It responds no more.
         until(async || !is_named().await).await;
     })
     .await;
--- a/components/steering/src/membership.rs
+++ b/components/steering/src/membership.rs
@@ -2,7 +2,7 @@
 //!
 //! A VM counts as alive while its heartbeat counter increases, whichever peer forwards it. Peers say
 //! how long ago it did, so that a counter which is forwarded late keeps no dead VM alive. A VM that
-//! seems silent is asked before it counts as dead. See docs/DATAPATH.md, "Membership".
+//! seems silent gets a request for a heartbeat before it counts as dead. See docs/DATAPATH.md, "Membership".
 
 use clock::Millis;
 use rand::Rng;
@@ -14,19 +14,19 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The part of the time without heartbeats until death after which a VM is asked for one. Its
+/// The part of the time without heartbeats until death after which one is requested of a VM. Its
 /// heartbeats may just not have been forwarded to this VM.
 const SUSPECT_PART: (u64, u64) = (2, 3);
 /// Least time between two requests to one VM.
-const PROBE_INTERVAL: Millis = Millis(400);
-/// VMs that are asked for a heartbeat at a time; after the loss of most VMs, those that are left ask
-/// the next ones in their next round.
+const REQUEST_INTERVAL: Millis = Millis(400);
+/// Requests at a time; after the loss of most VMs, those that are left send more in their next
+/// round.
 const MAX_SUSPECTS: usize = 256;
 
 /// VMs that a heartbeat summarises in a small fleet, in about 10 bytes each.
 const MIN_SUMMARIES: usize = 100;
-/// The part of a large fleet that a heartbeat summarises. With less, more has to be sent to ask VMs
-/// whether they are alive than summaries save; docs/CAPACITY.md has the figures.
+/// The part of a large fleet that a heartbeat summarises. With less, requests for heartbeats take
+/// more bytes than summaries save; docs/CAPACITY.md has the figures.
 const SUMMARY_PART: (usize, usize) = (2, 3);
 /// Most VMs that a heartbeat summarises, in about 4 KB.
 const MAX_SUMMARIES: usize = 300;
@@ -124,7 +124,7 @@
     member: Member,
     advanced: Millis,
     /// When a heartbeat was last requested from it.
-    probed: Option<Millis>,
+    requested: Option<Millis>,
 }
 
 impl Members {
@@ -145,7 +145,7 @@
         let key = member.key();
         let Some(known) = self.known.get_mut(&member.vm) else {
             self.names.insert(key, Arc::clone(&member.vm));
-            let known = Known { member, advanced, probed: None };
+            let known = Known { member, advanced, requested: None };
             self.known.insert(Arc::clone(&known.member.vm), known);
             return true;
         };
@@ -158,7 +158,7 @@
         self.names.remove(&known.member.key());
         self.names.insert(key, Arc::clone(&member.vm));
         let advanced = if is_new { advanced } else { advanced.max(known.advanced) };
-        *known = Known { member, advanced, probed: None };
+        *known = Known { member, advanced, requested: None };
         is_new || was_dead
     }
 
@@ -240,16 +240,16 @@
         let is_suspect = |known: &&mut Known| {
             known.advanced + suspect_after <= now
                 && now < known.advanced + self.dead_after
-                && known.probed.is_none_or(|probed| probed + PROBE_INTERVAL <= now)
+                && known.requested.is_none_or(|requested| requested + REQUEST_INTERVAL <= now)
         };
         let mut suspects: Vec<&mut Known> = self.known.values_mut().filter(is_suspect).collect();
         suspects.sort_unstable_by_key(|known| known.advanced);
         suspects.truncate(MAX_SUSPECTS);
-        let probe = |known: &mut Known| {
-            known.probed = Some(now);
+        let request = |known: &mut Known| {
+            known.requested = Some(now);
             known.member.heartbeats
         };
-        suspects.into_iter().map(probe).collect()
+        suspects.into_iter().map(request).collect()
     }
 
     /// Forgets the VMs that have been dead for long; returns the names of those that died after
--- a/components/steering/tests/membership_fleet.rs
+++ b/components/steering/tests/membership_fleet.rs
@@ -28,7 +28,7 @@
         to: usize,
         full: Vec<(Member, Millis)>,
         summaries: Vec<(Summary, Millis)>,
-        asks: bool,
+        requests_reply: bool,
     },
 }
 
@@ -41,8 +41,8 @@
     now: u64,
     loss: f64,
     random: SmallRng,
-    /// Probes and bytes sent by all VMs.
-    probes: u64,
+    /// Requests and bytes sent by all VMs.
+    requests: u64,
     bytes: u64,
     /// The part of the bytes that crosses regions.
     crossing: u64,
@@ -68,7 +68,7 @@
             now: 0,
             loss,
             random: SmallRng::seed_from_u64(seed),
-            probes: 0,
+            requests: 0,
             bytes: 0,
             crossing: 0,
         };
@@ -95,7 +95,7 @@
                 Event::Round(vm) if self.is_down[vm] => {}
                 Event::Round(vm) => self.round(vm),
                 Event::Heartbeat { to, .. } if self.is_down[to] => {}
-                Event::Heartbeat { from, to, full, summaries, asks } => {
+                Event::Heartbeat { from, to, full, summaries, requests_reply } => {
                     let now = Millis(self.now);
                     for (member, age) in full {
                         self.views[to].update(member, age, now);
@@ -103,7 +103,7 @@
                     for (summary, age) in summaries {
                         self.views[to].update_summary(summary, age, now);
                     }
-                    if asks {
+                    if requests_reply {
                         self.send(to, from, Vec::new(), Vec::new(), false);
                     }
                 }
@@ -129,7 +129,7 @@
             self.send(vm, to, full.clone(), summaries.clone(), false);
         }
         for address in self.views[vm].suspects(now) {
-            self.probes += 1;
+            self.requests += 1;
             self.send(vm, usize::from(address.port()), Vec::new(), Vec::new(), true);
         }
         self.schedule(self.now + INTERVAL, Event::Round(vm));
@@ -141,7 +141,7 @@
         to: usize,
         mut full: Vec<(Member, Millis)>,
         summaries: Vec<(Summary, Millis)>,
-        asks: bool,
+        requests_reply: bool,
     ) {
         self.own[from].counter += 1;
         full.push((self.own[from].clone(), Millis::ZERO));
@@ -149,7 +149,7 @@
         self.bytes += bytes;
         self.crossing += if from % REGIONS == to % REGIONS { 0 } else { bytes };
         if !self.random.random_bool(self.loss) {
-            let event = Event::Heartbeat { from, to, full, summaries, asks };
+            let event = Event::Heartbeat { from, to, full, summaries, requests_reply };
             self.schedule(self.now + LATENCY, event);
         }
     }
@@ -210,8 +210,8 @@
         }
         let seconds = fleet.now as f64 / 1_000.0 * size as f64;
         println!(
-            "{size} VMs, {loss} lost: at most {worst} taken for dead, {:.1} probes/s, {:.0} bytes/s a VM, {:.0} to other regions",
-            fleet.probes as f64 / seconds,
+            "{size} VMs, {loss} lost: at most {worst} taken for dead, {:.1} requests/s, {:.0} bytes/s a VM, {:.0} to other regions",
+            fleet.requests as f64 / seconds,
             fleet.bytes as f64 / seconds,
             fleet.crossing as f64 / seconds
         );
@@ -219,7 +219,7 @@
     }
 }
 
-// Guards against probes that keep a VM alive which has ended, alone or with most others.
+// Guards against requests that keep a VM alive which has ended, alone or with most others.
 #[test]
 fn vms_that_end_are_out_of_all_views_in_time() {
     for (size, every) in [(295, 50), (295, 1), (700, 1)] {
