--- a/review/standins/head.rs
+++ b/review/standins/head.rs
@@ -126,8 +126,21 @@
         if !self.connection.rest().is_empty() {
             let rest = String::from_utf8_lossy(self.connection.rest()).into_owned();
             self.record.line("surplus", &format!("client {} {id} {rest:?}", self.number));
+            self.record_next_answer();
             return false;
         }
         true
     }
+
+    /// Sends one more request and records what the client takes for its answer.
+    fn record_next_answer(&mut self) {
+        self.requests += 1;
+        let id = format!("{:04x}{:012x}", self.number, self.requests);
+        self.record.line("sent", &format!("client {} {id} GET /status/d", self.number));
+        let text = format!("GET /status/d HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n\r\n");
+        let sent = self.connection.send(text.as_bytes());
+        let answer = sent.and_then(|()| self.connection.head());
+        let start = answer.map(|head| head.map(|head| head.start));
+        self.record.line("answered", &format!("client {} {id} {start:?}", self.number));
+    }
 }
