--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -117,6 +117,13 @@
     }
 }
 
+/// Whether a connection ended, rather than being too slow for the client.
+#[allow(dead_code, reason = "not every case asks for it")]
+pub fn has_ended(error: &io::Error) -> bool {
+    use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset, UnexpectedEof};
+    matches!(error.kind(), BrokenPipe | ConnectionAborted | ConnectionReset | UnexpectedEof)
+}
+
 /// A response with a length.
 pub fn response(status: u16, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 {status} Status\r\n");
--- a/review/standins/stop.rs
+++ b/review/standins/stop.rs
@@ -9,7 +9,7 @@
 
 use deployment::{Deployment, HOST, Route, connect, has_trouble};
 use gateway::Signal;
-use http::Connection;
+use http::{Connection, has_ended};
 use record::Record;
 use server::Plan;
 use std::io;
@@ -148,7 +148,8 @@
             }
             Err(error) => {
                 self.record.line("cut", &format!("{text}: {error}"));
-                Ok((took < TIME_BUDGET).then_some(id))
+                // A whole answer of another status and a client's own time-out aren't cuts.
+                Ok((took < TIME_BUDGET && has_ended(&error)).then_some(id))
             }
         }
     }
--- a/review/standins/uploads.rs
+++ b/review/standins/uploads.rs
@@ -9,7 +9,7 @@
 
 use deployment::{Deployment, HOST, Route, connect, has_trouble};
 use gateway::{Gateway, Signal};
-use http::Connection;
+use http::{Connection, has_ended};
 use record::Record;
 use server::Plan;
 use std::collections::HashMap;
@@ -210,7 +210,7 @@
                 }
                 Err(error) => {
                     self.record.line("closed", &format!("{} {id} no answer: {error}", self.name));
-                    if answered > 0 {
+                    if answered > 0 && has_ended(&error) {
                         let lost = (self.gateway.machine.name.clone(), id);
                         self.world.unanswered.lock().expect("orders").push(lost);
                     }
