--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -239,19 +239,23 @@
 // ---------------------------------------------------------------------------------------------
 // The platform's store
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
     version: u64,
     rows: BTreeMap<(String, String), (u64, Option<Vec<u8>>)>,
 }
 
-/// The platform's store in its form with tables: listings, feeds and transactions. It is sound: it
-/// loses nothing and its answers are linearizable.
+/// The platform's store in its form with tables: listings, feeds and transactions. Its answers are
+/// linearizable, and it loses nothing except in a drill.
 pub struct Store {
     pub address: SocketAddr,
     rows: Mutex<Rows>,
     changed: Condvar,
     start: Instant,
+    is_away: AtomicBool,
+    /// How often it came back from a copy.
+    era: AtomicU64,
+    copy: Mutex<Rows>,
 }
 
 impl Store {
@@ -262,6 +266,9 @@
             rows: Mutex::default(),
             changed: Condvar::new(),
             start: Instant::now(),
+            is_away: AtomicBool::new(false),
+            era: AtomicU64::new(0),
+            copy: Mutex::default(),
         });
         let shared = Arc::clone(&store);
         thread::spawn(move || {
@@ -282,6 +289,24 @@
         version
     }
 
+    /// Copies all rows, for [`Store::come_back`].
+    pub fn copy(&self) {
+        *self.copy.lock().unwrap() = self.rows.lock().unwrap().clone();
+    }
+
+    /// Answers nothing from now on.
+    pub fn go_away(&self) {
+        self.is_away.store(true, Ordering::Relaxed);
+    }
+
+    /// Comes back from the copy: what was written since is gone, and an era begins.
+    pub fn come_back(&self) {
+        *self.rows.lock().unwrap() = self.copy.lock().unwrap().clone();
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.is_away.store(false, Ordering::Relaxed);
+        self.changed.notify_all();
+    }
+
     fn serve(&self, mut link: Link) -> io::Result<()> {
         loop {
             let head = link.head()?;
@@ -290,9 +315,19 @@
                 link.need()?;
             }
             let content: Vec<u8> = link.buffer.drain(..length).collect();
+            let era = self.era.load(Ordering::Relaxed);
             let (status, body) = self.answer(&head, &content);
+            if self.is_away.load(Ordering::Relaxed) || self.era.load(Ordering::Relaxed) != era {
+                // An answer that is lost takes its connection along.
+                sleep(30_000);
+                return Ok(());
+            }
+            let era = match era {
+                0 => String::new(),
+                era => format!("Store-Era: {era}\r\n"),
+            };
             let text = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} X\r\n{era}Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             link.send(text.as_bytes())?;
@@ -312,6 +347,9 @@
                 let until = Instant::now() + ms(number("wait_ms").unwrap_or_default().min(30_000));
                 let mut rows = self.rows.lock().unwrap();
                 loop {
+                    if after > rows.version {
+                        return (410, "{}".to_owned());
+                    }
                     let (count, body) = self.page(&rows, table, after, true);
                     let left = until.saturating_duration_since(Instant::now());
                     if count > 0 || left.is_zero() {
