--- a/review/standins-2/evict.rs
+++ b/review/standins-2/evict.rs
@@ -36,7 +36,7 @@
 /// `max_body_bytes` of the configuration.
 const LARGEST_BODY: usize = 67_108_864;
 /// Bytes of the large orders.
-const LARGE_ORDERS: [usize; 3] = [LARGEST_BODY, LARGEST_BODY, 1_500_000];
+const LARGE_ORDERS: [usize; 2] = [LARGEST_BODY, LARGEST_BODY];
 /// Ordinary clients at one machine.
 const CLIENTS: usize = 30;
 const MANUAL_BYTES: usize = 200_000;
