Review case 6: a body without end takes a process over its memory

Up to 64 KiB of an answer wait for the client whether there is memory or not, and only payload counts: in chunks of one byte that is some 8 MB.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for program in heads evict pipeline revoke; do
+for program in chunks heads evict pipeline revoke; do
     rustc --edition 2021 -O -o "target/review-2/$program" "review/standins-2/$program.rs"
 done
--- a/review/standins-2/lab.rs
+++ b/review/standins-2/lab.rs
@@ -739,6 +739,7 @@
     pub known: Vec<(String, String)>,
     pub memory_mb: u64,
     pub max_fds: u64,
+    pub cpu_share: f64,
     pub bounds: String,
 }
 
@@ -759,6 +760,7 @@
             known: Vec::new(),
             memory_mb: 260,
             max_fds: 4_100,
+            cpu_share: 0.2,
             bounds: bounds.to_owned(),
         }
     }
@@ -835,7 +837,7 @@
                  \"bind\":{{\"frontend_addr\":\"{ip}:{CLIENTS_PORT}\",\"ready\":\"{ip}:{READY_PORT}\",\
                  \"control\":\"{ip}:{CONTROL_PORT}\",\"directory\":\"{ip}:{DIRECTORY_PORT}\"}},\
                  \"internal_ports\":[{INTERNAL_PORT},{}],\"seeds\":[{}],\"bootstrap\":true,\
-                 \"loss_counted\":false,\"limits\":{{\"cpu_share\":0.2,\"cores\":1,\
+                 \"loss_counted\":false,\"limits\":{{\"cpu_share\":{},\"cores\":1,\
                  \"memory_mb\":{},\"max_fds\":{},\"link_mbps\":1000.0,\"disk_mb\":0}},\
                  \"data_dir\":null,\"discovery\":\"platform\",\"entry\":\"directory\",\
                  \"heartbeat\":\"1500ms\",\"contracts\":[\"base\",\"drain\",\"config\",\"cost\",\
@@ -847,6 +849,7 @@
                 zones.join(","),
                 INTERNAL_PORT + 15,
                 seeds.join(","),
+                options.cpu_share,
                 options.memory_mb,
                 options.max_fds,
                 options.bounds,
