--- a/review/standins-2/evict.rs
+++ b/review/standins-2/evict.rs
@@ -37,6 +37,10 @@
 const LARGEST_BODY: usize = 67_108_864;
 /// Bytes of the large orders.
 const LARGE_ORDERS: [usize; 2] = [LARGEST_BODY, LARGEST_BODY];
+/// The pause after each MiB of an order: both send 0.67 Gbit/s, so that nothing waits at the link.
+const PART_MS: u64 = 25;
+/// `stable_window`: after it, a machine that was started is in touch.
+const STABLE_MS: u64 = 3_000;
 /// Ordinary clients at one machine.
 const CLIENTS: usize = 30;
 const MANUAL_BYTES: usize = 200_000;
@@ -52,6 +56,12 @@
     Unanswered,
     /// The connection was closed within the answer.
     Truncated,
+    /// The client's time budget ended.
+    TimedOut,
+}
+
+fn is_time_out(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
 }
 
 fn fetch(link: &mut Link, id: &str) -> End {
@@ -60,10 +70,12 @@
         return End::Unanswered;
     }
     match link.head() {
+        Err(error) if is_time_out(&error) => End::TimedOut,
         Err(_) if link.buffered() == 0 => End::Unanswered,
         Err(_) => End::Truncated,
         Ok(head) => match link.body(&head) {
             Ok(_) => End::Answered(head.status()),
+            Err(error) if is_time_out(&error) => End::TimedOut,
             Err(_) => End::Truncated,
         },
     }
@@ -75,7 +87,7 @@
     let (mut sent, mut lost) = (0, Vec::new());
     while Instant::now() < end {
         let Ok(mut link) = Link::connect(address) else { continue };
-        let _ = link.stream.set_read_timeout(Some(ms(4_000)));
+        let _ = link.stream.set_read_timeout(Some(ms(1_500)));
         let mut is_kept = false;
         while Instant::now() < end {
             let id = new_id();
@@ -91,6 +103,10 @@
                     }
                     break;
                 }
+                End::TimedOut => {
+                    record.note(format!("client waits no longer for {id}"));
+                    break;
+                }
                 End::Truncated => {
                     record
                         .note(format!("client's connection was closed within the answer to {id}"));
@@ -117,6 +133,7 @@
         let now = left.min(part.len());
         link.send(&part[..now])?;
         left -= now;
+        sleep(PART_MS);
     }
     let head = link.head()?;
     record.note(format!("large order {id} got {}", head.status()));
@@ -141,6 +158,7 @@
         orders.push(lab.server("order-desk", zone, 3, plan)?);
     }
     lab.start()?;
+    sleep(STABLE_MS);
     let (record, address) = (lab.record.clone(), lab.machines[0].clients());
     let seconds = Instant::now() + ms(8_000);
     let clients: Vec<_> = (0..CLIENTS)
