--- a/review/standins-2/chunks.rs
+++ b/review/standins-2/chunks.rs
@@ -191,7 +191,13 @@
 }
 
 /// A client that keeps its connection, reads at once and sends one request at a time.
-fn client(address: SocketAddr, kind: usize, outcomes: &Outcomes, is_over: &AtomicBool) {
+fn client(
+    address: SocketAddr,
+    kind: usize,
+    record: &Record,
+    outcomes: &Outcomes,
+    is_over: &AtomicBool,
+) {
     while !is_over.load(Ordering::Relaxed) {
         let Ok(mut link) = Link::connect(address) else {
             outcomes.unreachable.fetch_add(1, Ordering::Relaxed);
@@ -201,7 +207,9 @@
         let _ = link.stream.set_read_timeout(Some(ms(BUDGETS_MS[kind])));
         while !is_over.load(Ordering::Relaxed) {
             let path = format!("{}{}", ROUTES[kind].prefix, random() % 100);
-            let bytes = request("GET", &path, &new_id(), BUDGETS_MS[kind], "");
+            let id = new_id();
+            record.note(format!("client sends {id} to {address}"));
+            let bytes = request("GET", &path, &id, BUDGETS_MS[kind], "");
             let head = link.send(&bytes).and_then(|()| link.head());
             let answer = head.and_then(|head| link.body(&head).map(|_| head.status()));
             let counter = match answer {
@@ -210,6 +218,10 @@
                 Err(_) => &outcomes.broken_off,
             };
             counter.fetch_add(1, Ordering::Relaxed);
+            match &answer {
+                Ok(status) => record.note(format!("client got {status} to {id}")),
+                Err(error) => record.note(format!("client got no whole answer to {id}: {error}")),
+            }
             sleep(100);
             if answer.is_err() {
                 break;
@@ -291,8 +303,9 @@
             .collect();
         for machine in &lab.machines[..MACHINES] {
             for number in 0..CLIENTS {
-                let (address, outcomes, done) = (machine.clients(), &outcomes, &done);
-                scope.spawn(move || client(address, kind(number), outcomes, done));
+                let (address, record) = (machine.clients(), &record);
+                let (outcomes, done) = (&outcomes, &done);
+                scope.spawn(move || client(address, kind(number), record, outcomes, done));
             }
         }
         sleep(LENGTH_MS);
